--- /dev/null
+++ b/crates/config/src/weights.rs
@@ -0,0 +1,93 @@
+//! Effective weights: what a service's versions receive right now.
+//!
+//! A pure function of the configuration, the brakes heard so far and the time, so that every
+//! daemon reaches the same answer from its own clock. A braked move contributes nothing.
+
+use crate::mesh::{MeshConfig, Service};
+use crate::moves::{Intent, PROGRESS_WHOLE};
+use rf_base::{InstanceId, Millis, MoveId, ServiceName, VersionName};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Unit in which effective weights are computed: parts of the whole service.
+pub const WEIGHT_UNIT: u64 = 1_000_000;
+
+/// Weights of one service's versions, in parts of [`WEIGHT_UNIT`].
+pub type Weights = BTreeMap<VersionName, u64>;
+
+/// Computes the configured weights of `service`, without moves.
+pub fn compute_base(service: &Service) -> Weights {
+    let sum: u64 = service.versions.values().map(|v| u64::from(v.weight)).sum();
+    service
+        .versions
+        .iter()
+        .map(|(name, v)| {
+            let part = u64::from(v.weight) * WEIGHT_UNIT;
+            (name.clone(), part.checked_div(sum).unwrap_or(0))
+        })
+        .collect()
+}
+
+/// Computes the weights that a finished shift of `share` percent to `version` leaves.
+///
+/// The rest goes to the other versions in proportion to their weights, or in equal parts where none
+/// of them has any.
+pub fn compute_shifted(base: &Weights, version: &VersionName, share: u32) -> Weights {
+    let target = u64::from(share) * WEIGHT_UNIT / 100;
+    let rest = WEIGHT_UNIT.saturating_sub(target);
+    let others = || base.iter().filter(|(name, _)| *name != version);
+    let sum: u64 = others().map(|(_, w)| *w).sum();
+    let count = others().count() as u64;
+    base.iter()
+        .map(|(name, weight)| {
+            let shifted = match name == version {
+                true => target,
+                false => (weight * rest).checked_div(sum).unwrap_or(rest / count),
+            };
+            (name.clone(), shifted)
+        })
+        .collect()
+}
+
+/// Computes the weights of `name` in force at `now`.
+pub fn compute_effective(
+    config: &MeshConfig,
+    name: &ServiceName,
+    braked: &BTreeSet<MoveId>,
+    now: Millis,
+) -> Weights {
+    let Some(service) = config.services.get(name) else {
+        return Weights::new();
+    };
+    let base = compute_base(service);
+    for (id, m) in &config.moves {
+        let Intent::Shift { version, share, .. } = &m.plan.intent else {
+            continue;
+        };
+        if m.plan.service != *name || !m.state.is_running() || braked.contains(id) {
+            continue;
+        }
+        let target = compute_shifted(&base, version, *share);
+        return interpolate(&base, &target, m.progress(now));
+    }
+    base
+}
+
+/// Computes the instances whose backend servers receive no new work at `now`.
+pub fn compute_leaving(config: &MeshConfig, now: Millis) -> BTreeSet<InstanceId> {
+    let running = config.running_moves().filter_map(|m| match m.plan.intent {
+        Intent::Retire { instance, .. } if now < m.plan.deadline => Some(instance),
+        _ => None,
+    });
+    running.chain(config.retired.iter().copied()).collect()
+}
+
+fn interpolate(from: &Weights, to: &Weights, progress: u32) -> Weights {
+    let p = u64::from(progress.min(PROGRESS_WHOLE));
+    let whole = u64::from(PROGRESS_WHOLE);
+    from.iter()
+        .map(|(name, w0)| {
+            let w1 = to.get(name).copied().unwrap_or(0);
+            (name.clone(), (w0 * (whole - p) + w1 * p) / whole)
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/daemon/src/control/operators.rs
@@ -0,0 +1,285 @@
+//! Answers to operators.
+
+use super::event::{
+    Accepted, Action, Confirmed, OperatorAnswer, OperatorError, OperatorRequest, OperatorResult,
+    PlatformCall, Requester,
+};
+use super::machine::Control;
+use super::status::{MoveView, RefusedView, ServerStatus, StatusView};
+use rf_base::{Millis, MoveId, PlanId};
+use rf_config::{Intent, MeshConfig, Plan};
+use rf_membership::Reachability;
+use rf_platform::{Object, ObjectVersion, StoreError};
+use rf_rollout::plan::{PlanContext, Servers};
+use rf_rollout::writer::Ended;
+use rf_rollout::{Change, ChangeError, PlanSettings, Refusal, ServerView, WriterEnd, compute_plan};
+use std::collections::BTreeMap;
+
+/// Time for which an operator's change is tried.
+const CHANGE_TIME: Millis = Millis(8000);
+/// Longest time to live of an announcement.
+const MAX_TTL: Millis = Millis::from_secs(3600);
+
+impl Control {
+    pub(super) fn handle_operator(
+        &mut self,
+        now: Millis,
+        from: Requester,
+        request: OperatorRequest,
+        actions: &mut Vec<Action>,
+    ) {
+        let answer = match request {
+            OperatorRequest::Announce(announcement) => {
+                if announcement.slots == 0 || announcement.ttl == Millis::ZERO {
+                    let message = "expected slots and ttl above 0".to_owned();
+                    Err(OperatorError::Invalid(message))
+                } else if announcement.ttl > MAX_TTL {
+                    let message = format!("expected a ttl of at most {MAX_TTL}");
+                    Err(OperatorError::Invalid(message))
+                } else {
+                    self.announce(now, announcement);
+                    Ok(self.accepted())
+                }
+            }
+            OperatorRequest::Withdraw => {
+                self.withdraw(now);
+                Ok(self.accepted())
+            }
+            OperatorRequest::Apply(document) => {
+                let id = self
+                    .writer
+                    .submit(Change::Apply(document), now + CHANGE_TIME);
+                self.jobs.insert(id, (from, None));
+                self.poll_platform(now, actions);
+                return;
+            }
+            OperatorRequest::Plan(intent) => match self.plan(now, &intent) {
+                Ok(plan) => {
+                    let call = PlatformCall::PlanPut(from, Box::new(plan));
+                    actions.push(Action::Platform(call));
+                    return;
+                }
+                Err(error) => Err(error),
+            },
+            OperatorRequest::Confirm(id) => {
+                actions.push(Action::Platform(PlatformCall::PlanGet(from, id)));
+                return;
+            }
+            OperatorRequest::Moves => Ok(OperatorAnswer::Moves(self.view_moves(now))),
+            OperatorRequest::Status => Ok(OperatorAnswer::Status(Box::new(self.view_status(now)))),
+            OperatorRequest::Config => {
+                let config = MeshConfig::clone(self.config());
+                Ok(OperatorAnswer::Config(Box::new(config)))
+            }
+        };
+        actions.push(Action::AnswerOperator(from, answer));
+    }
+
+    fn accepted(&self) -> OperatorAnswer {
+        OperatorAnswer::Accepted(Accepted {
+            counter: self.config().counter,
+        })
+    }
+
+    fn plan(&mut self, now: Millis, intent: &Intent) -> Result<Plan, OperatorError> {
+        let c = &self.settings.control;
+        let settings = PlanSettings {
+            spread: c.spread,
+            clock_error: c.clock_error,
+            platform_timeout: c.platform_timeout,
+            ..PlanSettings::default()
+        };
+        let servers = self.view_servers();
+        let seed = self.random.bits();
+        let context = PlanContext {
+            config: self.distribution.config(),
+            servers: &servers,
+            settings: &settings,
+            now,
+            seed,
+        };
+        compute_plan(context, intent).map_err(|refusal| {
+            let message = refusal.to_string();
+            match refusal {
+                Refusal::Busy { .. }
+                | Refusal::AlreadyEnded { .. }
+                | Refusal::AlreadyRetired { .. } => OperatorError::Conflict(message),
+                _ => OperatorError::Invalid(message),
+            }
+        })
+    }
+
+    fn view_servers(&self) -> Servers {
+        let roster = self.membership.roster();
+        let view = |m: &rf_protocol::Member| {
+            let server = m.server.as_ref()?;
+            let view = ServerView {
+                service: server.service.clone(),
+                version: server.version.clone(),
+                incarnation: m.incarnation,
+                is_available: !m.leaving && roster.reachability(m.id) == Reachability::Reachable,
+            };
+            Some((m.id, view))
+        };
+        roster.members().filter_map(view).collect()
+    }
+
+    pub(super) fn handle_plan_put(
+        &mut self,
+        from: Requester,
+        plan: Box<Plan>,
+        result: Result<ObjectVersion, StoreError>,
+        actions: &mut Vec<Action>,
+    ) {
+        let answer = match result {
+            Ok(_) => Ok(OperatorAnswer::Plan(plan)),
+            Err(error) => Err(OperatorError::Unavailable(error.to_string())),
+        };
+        actions.push(Action::AnswerOperator(from, answer));
+    }
+
+    pub(super) fn handle_plan_get(
+        &mut self,
+        now: Millis,
+        from: Requester,
+        id: PlanId,
+        result: Result<Object, StoreError>,
+        actions: &mut Vec<Action>,
+    ) {
+        let plan: Plan = match read_plan(id, result) {
+            Ok(plan) => plan,
+            Err(error) => {
+                actions.push(Action::AnswerOperator(from, Err(error)));
+                return;
+            }
+        };
+        let target = match plan.intent {
+            Intent::TakeBack { target } => target,
+            _ => MoveId(id.0),
+        };
+        let change = Change::Confirm(Box::new(plan));
+        let job = self.writer.submit(change, now + CHANGE_TIME);
+        self.jobs.insert(job, (from, Some(target)));
+    }
+
+    /// Takes in the end of a job of the writer.
+    pub(super) fn end_job(&mut self, now: Millis, ended: Option<Ended>, actions: &mut Vec<Action>) {
+        let Some(ended) = ended else {
+            return;
+        };
+        if let Some(config) = ended.config {
+            self.adopt(now, config);
+        }
+        let Some((from, target)) = self.jobs.remove(&ended.id) else {
+            return;
+        };
+        let answer = answer_job(ended.end, target);
+        actions.push(Action::AnswerOperator(from, answer));
+    }
+
+    fn view_moves(&self, now: Millis) -> Vec<MoveView> {
+        let mut views: Vec<MoveView> = self
+            .config()
+            .moves
+            .values()
+            .map(|m| {
+                let brake = self.brakes.get(&m.id()).map(|b| b.reason.as_str());
+                MoveView::new(m, brake, now)
+            })
+            .collect();
+        views.sort_by_key(|m| m.confirmed);
+        views
+    }
+
+    fn view_status(&self, now: Millis) -> StatusView {
+        let roster = self.membership.roster();
+        let applied = self.distribution.applied();
+        let name = |id: rf_base::InstanceId| {
+            roster
+                .get(id)
+                .map_or_else(|| id.to_string(), |m| m.name.clone())
+        };
+        let reachable: Vec<&rf_protocol::Member> = roster.reachable().collect();
+        let missing = reachable.iter().filter(|m| !applied.contains(&m.id));
+        StatusView {
+            instance: self.settings.instance.clone(),
+            counter: self.config().counter,
+            known: roster.len(),
+            reachable: reachable.len(),
+            in_force: reachable.iter().filter(|m| applied.contains(&m.id)).count(),
+            missing: missing.map(|m| m.name.clone()).collect(),
+            unreachable: roster.unreachable().map(name).collect(),
+            refused: self.distribution.refused().map(|r| RefusedView {
+                counter: r.counter,
+                errors: r.errors.clone(),
+            }),
+            conducts: self.platform.moves_epoch(now),
+            watches: self.platform.is_watch_holder(now),
+            is_platform_up: self.platform.is_up(),
+            weights: self.view_weights(now),
+            servers: self.view_server_statuses(),
+        }
+    }
+
+    fn view_weights(
+        &self,
+        now: Millis,
+    ) -> BTreeMap<rf_base::ServiceName, BTreeMap<rf_base::VersionName, u64>> {
+        let config = self.config();
+        let braked = self.braked();
+        let weigh = |name: &rf_base::ServiceName| {
+            rf_config::weights::compute_effective(config, name, &braked, now)
+        };
+        let names = config.services.keys();
+        names.map(|name| (name.clone(), weigh(name))).collect()
+    }
+
+    fn view_server_statuses(&self) -> Vec<ServerStatus> {
+        let servers = self.view_servers();
+        let roster = self.membership.roster();
+        let describe = |m: &rf_protocol::Member| {
+            let server = m.server.as_ref()?;
+            let is_retired = self.config().retired.contains(&m.id);
+            Some(ServerStatus {
+                instance: m.name.clone(),
+                id: m.id,
+                zone: m.zone.clone(),
+                service: server.service.clone(),
+                version: server.version.clone(),
+                slots: server.slots,
+                is_available: !is_retired && servers.get(&m.id).is_some_and(|s| s.is_available),
+            })
+        };
+        roster.members().filter_map(describe).collect()
+    }
+}
+
+fn read_plan(id: PlanId, result: Result<Object, StoreError>) -> Result<Plan, OperatorError> {
+    let object = result.map_err(|error| match error {
+        StoreError::NotFound => OperatorError::NotFound(format!("no plan {id}")),
+        other => OperatorError::Unavailable(other.to_string()),
+    })?;
+    serde_json::from_slice(&object.value)
+        .map_err(|e| OperatorError::Unavailable(format!("plan {id} does not parse: {e}")))
+}
+
+fn answer_job(end: WriterEnd, target: Option<MoveId>) -> OperatorResult {
+    match (end, target) {
+        (WriterEnd::Written(counter), Some(confirmed)) => {
+            Ok(OperatorAnswer::Confirmed(Confirmed { confirmed, counter }))
+        }
+        (WriterEnd::Written(counter), None) => Ok(OperatorAnswer::Accepted(Accepted { counter })),
+        (WriterEnd::Refused(error), _) => Err(refuse(&error)),
+        (WriterEnd::Unavailable(message), _) => Err(OperatorError::Unavailable(message)),
+        (WriterEnd::Unknown(message), _) => Err(OperatorError::Unknown(message)),
+    }
+}
+
+fn refuse(error: &ChangeError) -> OperatorError {
+    let message = error.to_string();
+    match error {
+        ChangeError::Invalid { .. } => OperatorError::Invalid(message),
+        ChangeError::UnknownMove { .. } => OperatorError::NotFound(message),
+        _ => OperatorError::Conflict(message),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/traffic/answer.rs
@@ -0,0 +1,67 @@
+//! Whole answers, as kept in the ledger and in the records of idempotency keys.
+
+use super::headers;
+use http_types::{Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use serde_with::{Bytes, serde_as};
+
+/// A whole answer of a backend server.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// Status code.
+    pub status: u16,
+    /// End-to-end headers.
+    pub headers: Vec<HeaderLine>,
+    /// Body.
+    #[serde_as(as = "Bytes")]
+    pub body: Vec<u8>,
+}
+
+/// One header.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeaderLine {
+    /// Name.
+    pub name: String,
+    /// Value.
+    pub value: String,
+}
+
+impl Answer {
+    /// Takes the status and the end-to-end headers of `response`, with `body`.
+    pub fn new(response: &Response, body: Vec<u8>) -> Answer {
+        let mut head = Response::new(response.status());
+        for (name, values) in response {
+            for value in values {
+                head.append_header(name, value.clone());
+            }
+        }
+        headers::strip_response(&mut head);
+        let mut lines = Vec::new();
+        for (name, values) in &head {
+            for value in values {
+                lines.push(HeaderLine {
+                    name: name.as_str().to_owned(),
+                    value: value.as_str().to_owned(),
+                });
+            }
+        }
+        Answer {
+            status: response.status() as u16,
+            headers: lines,
+            body,
+        }
+    }
+
+    /// Makes a response of the answer.
+    pub fn to_response(&self) -> Response {
+        let status = StatusCode::try_from(self.status).unwrap_or(StatusCode::BadGateway);
+        let mut response = Response::new(status);
+        response.set_body(self.body.as_slice());
+        response.remove_header("content-type");
+        for line in &self.headers {
+            response.append_header(line.name.as_str(), line.value.as_str());
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/traffic/attempt.rs
@@ -0,0 +1,483 @@
+//! Sends one attempt to the daemon beside the chosen backend server, and finds out how it ended.
+//!
+//! While the answer is awaited the connection may go silent or break. Then the ledger of the other
+//! daemon is asked on a new connection, again and again until it knows the end or the deadline has
+//! passed. An unseen attempt is revoked by the question itself, so "not run" is a fact; a kept
+//! answer is taken from the ledger. Only where the other daemon is gone, or lives a new life, does
+//! the attempt end as "may have run". The silent connection is kept open meanwhile, because closing
+//! it could be taken for a cancellation, and its answer is taken if it comes after all.
+
+use super::answer::Answer;
+use super::body::{EndingReader, ExactReader, OnEnd, Payload};
+use super::headers;
+use super::relay::Operation;
+use super::run::{Attempt, RunEnd, put_body, run, set_payload};
+use super::shared::{InFlight, Shared};
+use super::trace::TraceContext;
+use async_std::future::timeout;
+use async_std::task;
+use futures_lite::FutureExt;
+use http_types::{Body, Method, Request, Response, Url};
+use rf_base::{AttemptId, Millis, Verdict};
+use rf_protocol::attempt::ATTEMPT_HEADER;
+use rf_protocol::{AttemptHeader, open};
+use rf_traffic::table::ServerTarget;
+use rf_traffic::{RefusalReason, Settlement};
+use rf_transport::client::{read_body, wants_close};
+use rf_transport::{Connection, SendError};
+use serde::{Deserialize, Serialize};
+use std::future::Future;
+use std::pin::{Pin, pin};
+use std::sync::Arc;
+use tracing::debug;
+
+/// Pause between two questions about a running attempt.
+const ASK_PAUSE: Millis = Millis(100);
+/// Longest wait for the answer to one question.
+const ASK_TIMEOUT: Millis = Millis(500);
+/// Questions in a row without a connection after which the other daemon counts as gone.
+const ASK_MISSES: u32 = 5;
+/// Longest answer to a question.
+const ASK_BYTES: usize = 1024 * 1024;
+
+/// What a ledger says about an attempt.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum AskReply {
+    /// It did not run and will not.
+    NotRun,
+    /// It is running.
+    Running,
+    /// It ran; here is its answer.
+    Done(Box<Answer>),
+    /// It ran; its answer is gone.
+    Gone,
+    /// Only an earlier life of the daemon would know.
+    Unknown,
+}
+
+/// What a claim of an idempotency key brought.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum ClaimReply {
+    /// The key is claimed.
+    Granted,
+    /// A call with the key is running.
+    Running,
+    /// A call with the key is done; here is its answer.
+    Done(Box<Answer>),
+    /// A call with the key may have run.
+    Doubtful,
+    /// The key belongs to another request.
+    Reused,
+    /// There is no room for the record.
+    Full,
+}
+
+/// How a claimed call ended.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct SettleRequest {
+    /// Hash of the service and the key.
+    pub key: u64,
+    /// Call that claimed.
+    pub owner: AttemptId,
+    /// How it ended.
+    #[serde(with = "SettlementDef")]
+    pub settlement: Settlement<Box<Answer>>,
+}
+
+/// Wire form of [`Settlement`].
+#[derive(Serialize, Deserialize)]
+#[serde(remote = "Settlement<Box<Answer>>")]
+enum SettlementDef {
+    Released,
+    Done(Box<Answer>),
+    Doubtful,
+}
+
+/// One attempt as its sender sees it.
+#[derive(Debug)]
+pub struct Outgoing<'a> {
+    /// Where it goes.
+    pub target: &'a ServerTarget,
+    /// Fingerprint of the request.
+    pub fingerprint: u64,
+    /// Fingerprint of the route.
+    pub route: u64,
+    /// Head of the request, without hop-by-hop headers.
+    pub head: Request,
+    /// Body of the request.
+    pub payload: Payload,
+    /// Time by which the answer must be there.
+    pub deadline: Millis,
+    /// Trace context of the attempt.
+    pub trace: TraceContext,
+}
+
+/// How an attempt ended.
+#[derive(Debug)]
+pub enum AttemptResult {
+    /// The backend server answered; with its load as a share of its slots.
+    Answered(Response, Option<f64>),
+    /// There is no answer.
+    Failed(Failure),
+}
+
+/// An attempt without an answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Failure {
+    /// Whether it may have run.
+    pub verdict: Verdict,
+    /// Why it was refused, where it was.
+    pub refusal: Option<RefusalReason>,
+    /// Whether the backend server crashed.
+    pub is_crash: bool,
+    /// Whether the deadline passed.
+    pub is_late: bool,
+    /// Whether the daemon beside the backend server was not reached.
+    pub is_unreachable: bool,
+    /// What happened.
+    pub message: String,
+}
+
+impl Failure {
+    fn new(verdict: Verdict, message: impl Into<String>) -> Failure {
+        Failure {
+            verdict,
+            refusal: None,
+            is_crash: false,
+            is_late: false,
+            is_unreachable: false,
+            message: message.into(),
+        }
+    }
+
+    fn refused(reason: RefusalReason) -> Failure {
+        Failure {
+            refusal: Some(reason),
+            ..Failure::new(Verdict::NotRun, reason.as_str())
+        }
+    }
+
+    fn late(verdict: Verdict) -> Failure {
+        Failure {
+            is_late: true,
+            ..Failure::new(verdict, "deadline passed")
+        }
+    }
+}
+
+/// Sends an attempt and waits for its end.
+pub async fn send(shared: &Arc<Shared>, outgoing: Outgoing<'_>) -> AttemptResult {
+    let header = AttemptHeader {
+        id: shared.new_attempt(),
+        target: outgoing.target.instance,
+        incarnation: outgoing.target.incarnation,
+        expires: outgoing.deadline + shared.settings.control.clock_error,
+        fingerprint: outgoing.fingerprint,
+    };
+    let result = match outgoing.target.instance == shared.me {
+        true => send_here(shared, header, outgoing).await,
+        false => send_there(shared, header, outgoing).await,
+    };
+    let end = match &result {
+        AttemptResult::Answered(..) => Verdict::Ran,
+        AttemptResult::Failed(failure) => failure.verdict,
+    };
+    let labels = [end.as_str()];
+    shared.metrics.attempts.with_label_values(&labels).inc();
+    result
+}
+
+async fn send_here(
+    shared: &Arc<Shared>,
+    header: AttemptHeader,
+    outgoing: Outgoing<'_>,
+) -> AttemptResult {
+    let attempt = Attempt {
+        header,
+        route: outgoing.route,
+        deadline: outgoing.deadline,
+        head: outgoing.head,
+        payload: outgoing.payload,
+        trace: Some(outgoing.trace),
+    };
+    match task::spawn(run(shared.clone(), attempt)).await {
+        RunEnd::Answered(response) => {
+            let load = f64::from(shared.gate.load_percent()) / 100.0;
+            AttemptResult::Answered(response, Some(load))
+        }
+        RunEnd::Refused(reason) => AttemptResult::Failed(Failure::refused(reason)),
+        RunEnd::Broken(broken) => AttemptResult::Failed(Failure {
+            is_crash: broken.is_crash,
+            is_late: broken.is_late,
+            ..Failure::new(Verdict::MayHaveRun, broken.message)
+        }),
+    }
+}
+
+async fn send_there(
+    shared: &Arc<Shared>,
+    header: AttemptHeader,
+    outgoing: Outgoing<'_>,
+) -> AttemptResult {
+    let relay = outgoing.target.relay;
+    let deadline = outgoing.deadline;
+    let connection = match shared.relays.checkout(relay).await {
+        Ok(connection) => connection,
+        Err(error) => {
+            return AttemptResult::Failed(Failure {
+                is_unreachable: true,
+                ..Failure::new(Verdict::NotRun, error.to_string())
+            });
+        }
+    };
+    let request = build_request(shared, &header, outgoing);
+    let silence = shared.settings.traffic.silence;
+    let mut exchange = pin!(receive(shared, connection, request, header.id));
+    let left = deadline.since(shared.now()).min(silence);
+    let first = timeout(left.duration(), exchange.as_mut()).await;
+    let inquiry = Inquiry {
+        shared,
+        header,
+        relay,
+        deadline,
+    };
+    match first {
+        Ok(Ok(received)) => received.into_result(),
+        Ok(Err(error)) => inquiry.resolve(exchange, false, &error.to_string()).await,
+        Err(_) => {
+            inquiry
+                .resolve(exchange, true, "connection is silent")
+                .await
+        }
+    }
+}
+
+fn build_request(shared: &Shared, header: &AttemptHeader, outgoing: Outgoing<'_>) -> Request {
+    let mut request = outgoing.head;
+    let left = outgoing.deadline.since(shared.now());
+    request.insert_header(ATTEMPT_HEADER, header.encode(&shared.key));
+    request.insert_header(headers::DEADLINE, left.0.to_string());
+    request.insert_header(headers::ROUTE, format!("{:x}", outgoing.route));
+    request.insert_header(headers::TRACEPARENT, outgoing.trace.to_string());
+    set_payload(&mut request, outgoing.payload);
+    request
+}
+
+/// What came back over the connection of an attempt.
+struct Received {
+    response: Response,
+}
+
+impl Received {
+    /// Reads from the headers of the other daemon how the attempt ended.
+    fn into_result(self) -> AttemptResult {
+        let mut response = self.response;
+        let load = headers::get_response(&response, headers::LOAD)
+            .and_then(|v| v.parse::<f64>().ok())
+            .map(|percent| percent / 100.0);
+        let outcome = headers::get_response(&response, headers::OUTCOME).unwrap_or("");
+        let failure = match outcome {
+            "answered" => {
+                headers::strip_response(&mut response);
+                return AttemptResult::Answered(response, load);
+            }
+            "refused" => {
+                let reason = headers::get_response(&response, headers::REASON)
+                    .and_then(RefusalReason::parse);
+                Failure::refused(reason.unwrap_or(RefusalReason::Busy))
+            }
+            "late" => Failure::late(Verdict::MayHaveRun),
+            "broken" => {
+                let crash = headers::get_response(&response, headers::CRASH);
+                Failure {
+                    is_crash: crash == Some("1"),
+                    ..Failure::new(Verdict::MayHaveRun, "backend server did not answer")
+                }
+            }
+            _ => Failure::new(Verdict::NotRun, "attempt was refused as malformed"),
+        };
+        AttemptResult::Failed(failure)
+    }
+}
+
+/// Sends the request and reads its answer, whole up to the limit beyond which it is streamed.
+async fn receive(
+    shared: &Arc<Shared>,
+    connection: Connection,
+    request: Request,
+    id: AttemptId,
+) -> Result<Received, SendError> {
+    let address = connection.address();
+    let mut response = connection.exchange(request).await?;
+    let answers = headers::get_response(&response, headers::ANSWERS);
+    if answers.is_some_and(|a| a != id.to_string()) {
+        return Err(SendError::Broken {
+            address,
+            message: "answer belongs to another attempt".to_owned(),
+        });
+    }
+    let is_closing = wants_close(&response);
+    let declared = response.len();
+    let buffer = shared.settings.traffic.buffer;
+    if declared.is_some_and(|n| n <= buffer) {
+        let body = read_body(&mut response, address, buffer).await?;
+        if !is_closing {
+            shared.relays.put_back(connection);
+        }
+        put_body(&mut response, Body::from_bytes(body));
+        return Ok(Received { response });
+    }
+    let on_end = Returning {
+        shared: shared.clone(),
+        _call: shared.enter_call(),
+        connection: (!is_closing).then_some(connection),
+    };
+    let exact = ExactReader::new(response.take_body(), declared, u64::MAX);
+    let body = EndingReader::new(exact, on_end);
+    put_body(&mut response, Body::from_reader(body, declared));
+    Ok(Received { response })
+}
+
+/// Puts a connection back once a streamed answer ended whole.
+struct Returning {
+    shared: Arc<Shared>,
+    _call: InFlight,
+    connection: Option<Connection>,
+}
+
+impl OnEnd for Returning {
+    fn end(&mut self, is_whole: bool) {
+        let connection = self.connection.take();
+        if let Some(connection) = connection.filter(|_| is_whole) {
+            self.shared.relays.put_back(connection);
+        }
+    }
+}
+
+/// Finds out how an attempt ended whose connection is silent or broken.
+struct Inquiry<'a> {
+    shared: &'a Arc<Shared>,
+    header: AttemptHeader,
+    relay: std::net::SocketAddr,
+    deadline: Millis,
+}
+
+/// One piece of news about an attempt.
+enum News {
+    /// The connection brought the answer after all.
+    Received(Box<Received>),
+    /// The connection broke.
+    Broke,
+    /// The ledger answered.
+    Ledger(AskReply),
+    /// The ledger was not reached.
+    Unreached,
+}
+
+impl Inquiry<'_> {
+    /// Asks until the end is known; `exchange` is waited for only while it `is_open`.
+    async fn resolve<F>(
+        &self,
+        mut exchange: Pin<&mut F>,
+        mut is_open: bool,
+        cause: &str,
+    ) -> AttemptResult
+    where
+        F: Future<Output = Result<Received, SendError>>,
+    {
+        debug!(attempt = %self.header.id, cause, "asking the ledger");
+        let mut misses = 0;
+        loop {
+            if self.shared.now() >= self.deadline {
+                return AttemptResult::Failed(Failure::late(Verdict::MayHaveRun));
+            }
+            let news = match is_open {
+                true => wait_for(exchange.as_mut()).or(self.ask()).await,
+                false => self.ask().await,
+            };
+            match news {
+                News::Received(received) => return received.into_result(),
+                News::Broke => is_open = false,
+                News::Ledger(reply) => {
+                    misses = 0;
+                    if let Some(result) = self.conclude(reply) {
+                        return result;
+                    }
+                    self.pause(is_open).await;
+                }
+                News::Unreached => {
+                    misses += 1;
+                    if misses >= ASK_MISSES && !is_open {
+                        let message = format!("{cause}, and its daemon is gone");
+                        let failure = Failure::new(Verdict::MayHaveRun, message);
+                        return AttemptResult::Failed(failure);
+                    }
+                    self.pause(false).await;
+                }
+            }
+        }
+    }
+
+    async fn pause(&self, is_patient: bool) {
+        let factor = if is_patient { 2 } else { 1 };
+        let span = Millis(ASK_PAUSE.0 * factor);
+        let left = self.deadline.since(self.shared.now());
+        task::sleep(span.min(left).duration()).await;
+    }
+
+    async fn ask(&self) -> News {
+        let Ok(url) = Url::parse(&format!("http://{}/", self.relay)) else {
+            return News::Unreached;
+        };
+        let mut request = Request::new(Method::Post, url);
+        request.insert_header(ATTEMPT_HEADER, self.header.encode(&self.shared.key));
+        request.insert_header(headers::OPERATION, Operation::Ask.as_str());
+        let left = self.deadline.since(self.shared.now()).max(Millis(1));
+        let limit = ASK_TIMEOUT.min(left);
+        let relays = &self.shared.relays;
+        let sent = relays.send_fresh(self.relay, request, limit, ASK_BYTES);
+        let Ok(sent) = sent.await else {
+            return News::Unreached;
+        };
+        match open(&self.shared.key, &sent.body) {
+            Ok(reply) => News::Ledger(reply),
+            Err(_) => News::Unreached,
+        }
+    }
+
+    /// Concludes from what the ledger says; `None` while the attempt is running.
+    fn conclude(&self, reply: AskReply) -> Option<AttemptResult> {
+        let label = match &reply {
+            AskReply::NotRun => "not-run",
+            AskReply::Running => "running",
+            AskReply::Done(_) => "done",
+            AskReply::Gone => "gone",
+            AskReply::Unknown => "unknown",
+        };
+        let asks = &self.shared.metrics.asks;
+        asks.with_label_values(&[label]).inc();
+        let failure = match reply {
+            AskReply::Running => return None,
+            AskReply::Done(answer) => {
+                return Some(AttemptResult::Answered(answer.to_response(), None));
+            }
+            AskReply::NotRun => Failure::new(Verdict::NotRun, "attempt never arrived"),
+            AskReply::Gone => Failure::new(Verdict::MayHaveRun, "answer is gone"),
+            AskReply::Unknown => Failure::new(
+                Verdict::MayHaveRun,
+                "daemon was replaced while the call ran",
+            ),
+        };
+        Some(AttemptResult::Failed(failure))
+    }
+}
+
+async fn wait_for<F>(exchange: Pin<&mut F>) -> News
+where
+    F: Future<Output = Result<Received, SendError>>,
+{
+    match exchange.await {
+        Ok(received) => News::Received(Box::new(received)),
+        Err(_) => News::Broke,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/traffic/ingress.rs
@@ -0,0 +1,393 @@
+//! Takes callers' calls in.
+//!
+//! A call is checked, routed, and tried on one backend server after another until one answers or
+//! the verdict, the budget or the deadline forbid another attempt. Its caller always learns the
+//! verdict, in a header of the answer.
+
+use super::answer::Answer;
+use super::attempt::{AttemptResult, Failure, Outgoing, send};
+use super::body::{BodyError, BodyLimits, Payload, read_payload};
+use super::headers;
+use super::keyed::{Claimed, KeyClaim, claim};
+use super::run::{is_idempotent, put_body};
+use super::shared::Shared;
+use super::trace::TraceContext;
+use http_types::{Body, Request, Response, StatusCode};
+use rf_base::ids::hash_key;
+use rf_base::{Millis, Verdict};
+use rf_traffic::retry::AttemptEnd;
+use rf_traffic::table::{RouteEntry, RoutingTable, ServerTarget, ServiceEntry};
+use rf_traffic::{CallError, CallProgress, NextAttempt, Outcome, RefusalReason, Suspicion};
+use std::sync::Arc;
+use tracing::{Instrument, debug, debug_span};
+
+/// Result of a call.
+pub type Result<T> = std::result::Result<T, CallError>;
+
+/// Answers one call.
+///
+/// # Errors
+///
+/// Returns no error; the type is that of an HTTP endpoint.
+pub async fn handle(shared: Arc<Shared>, request: Request) -> http_types::Result<Response> {
+    let _call = shared.enter_call();
+    let start = shared.now();
+    let trace = start_trace(&shared, &request);
+    let span = debug_span!("call", trace = %trace);
+    let result = serve(&shared, request, trace, start).instrument(span).await;
+    let (response, verdict) = match result {
+        Ok(mut response) => {
+            response.insert_header(headers::VERDICT, Verdict::Ran.as_str());
+            (response, Verdict::Ran)
+        }
+        Err(error) => (describe(&error), error.verdict()),
+    };
+    let class = format!("{}xx", response.status() as u16 / 100);
+    let labels = [class.as_str(), verdict.as_str()];
+    shared.metrics.calls.with_label_values(&labels).inc();
+    Ok(response)
+}
+
+fn start_trace(shared: &Shared, request: &Request) -> TraceContext {
+    let parent = headers::get(request, headers::TRACEPARENT).and_then(TraceContext::parse);
+    match parent {
+        Some(parent) => parent.child(shared.bits()),
+        None => TraceContext::start(shared.bits(), shared.bits(), shared.bits()),
+    }
+}
+
+/// Makes the answer that tells a caller of an error.
+fn describe(error: &CallError) -> Response {
+    let status = StatusCode::try_from(error.status()).unwrap_or(StatusCode::BadGateway);
+    let mut response = Response::new(status);
+    response.insert_header(headers::VERDICT, error.verdict().as_str());
+    if let Some(seconds) = error.retry_after() {
+        response.insert_header("retry-after", seconds.to_string());
+    }
+    if closes_connection(error) {
+        response.insert_header("connection", "close");
+    }
+    response.set_body(format!("{error}\n"));
+    response
+}
+
+/// Returns whether the rest of the caller's connection cannot be made sense of.
+fn closes_connection(error: &CallError) -> bool {
+    matches!(
+        error,
+        CallError::BadRequest { .. }
+            | CallError::BodyTooLarge { .. }
+            | CallError::SlowBody { .. }
+            | CallError::Stopping
+    )
+}
+
+async fn serve(
+    shared: &Arc<Shared>,
+    mut request: Request,
+    trace: TraceContext,
+    start: Millis,
+) -> Result<Response> {
+    check(shared, &request)?;
+    let table = shared.table.load_full();
+    let route = find_route(&table, &request)?;
+    let service = table.service(route.service);
+    let limit = match headers::get_deadline(&request) {
+        Some(asked) => asked.min(route.deadline),
+        None => route.deadline,
+    };
+    let payload = take_payload(shared, &mut request).await?;
+    let fingerprint = fingerprint_call(&request, &payload);
+    let key = headers::get(&request, headers::IDEMPOTENCY_KEY).map(str::to_owned);
+    let idempotent = route
+        .idempotent
+        .unwrap_or_else(|| is_idempotent(request.method()));
+    headers::strip_request(&mut request);
+    let call = Call {
+        shared,
+        service,
+        route,
+        request,
+        fingerprint,
+        limit,
+        deadline: start + limit,
+        trace,
+    };
+    call.check_suspicion()?;
+    let response = match key.filter(|_| !idempotent) {
+        Some(key) => call.run_keyed(&key, payload).await?,
+        None => call.run(payload, idempotent).await?,
+    };
+    let seconds = shared.now().since(start).0 as f64 / 1000.0;
+    let labels = [service.name.as_str()];
+    let histogram = shared.metrics.call_seconds.with_label_values(&labels);
+    histogram.observe(seconds);
+    Ok(response)
+}
+
+fn check(shared: &Shared, request: &Request) -> Result<()> {
+    if shared.is_stopping() {
+        return Err(CallError::Stopping);
+    }
+    headers::check_framing(request).map_err(|message| CallError::BadRequest {
+        message: message.to_owned(),
+    })
+}
+
+fn find_route<'a>(table: &'a RoutingTable, request: &Request) -> Result<&'a RouteEntry> {
+    let host = headers::get(request, "host").unwrap_or("");
+    let path = request.url().path();
+    table
+        .find_route(host, path)
+        .ok_or_else(|| CallError::NoRoute {
+            host: host.to_owned(),
+            path: path.to_owned(),
+        })
+}
+
+async fn take_payload(shared: &Shared, request: &mut Request) -> Result<Payload> {
+    let traffic = &shared.settings.traffic;
+    let limits = BodyLimits {
+        buffer: traffic.buffer,
+        max: traffic.max_body,
+        pause: traffic.body_timeout,
+    };
+    read_payload(request.take_body(), limits)
+        .await
+        .map_err(|error| match error {
+            BodyError::Slow => CallError::SlowBody {
+                limit: limits.pause,
+            },
+            BodyError::TooLarge => CallError::BodyTooLarge { limit: limits.max },
+            BodyError::Broken => CallError::BadRequest {
+                message: "body ended early".to_owned(),
+            },
+        })
+}
+
+fn fingerprint_call(request: &Request, payload: &Payload) -> u64 {
+    let body = match payload {
+        Payload::Whole(bytes) => hash_key(bytes),
+        Payload::Streamed(_) => 0,
+    };
+    let path = request.url().path();
+    let query = request.url().query().unwrap_or("");
+    hash_key(format!("{} {path} {query} {body:x}", request.method()).as_bytes())
+}
+
+/// One call on its way.
+struct Call<'a> {
+    shared: &'a Arc<Shared>,
+    service: &'a ServiceEntry,
+    route: &'a RouteEntry,
+    request: Request,
+    fingerprint: u64,
+    limit: Millis,
+    deadline: Millis,
+    trace: TraceContext,
+}
+
+impl Call<'_> {
+    fn check_suspicion(&self) -> Result<()> {
+        match self.shared.strikes.load().suspicion(self.fingerprint) {
+            Suspicion::Guilty => Err(CallError::Crashing),
+            _ => Ok(()),
+        }
+    }
+
+    async fn run_keyed(&self, key: &str, payload: Payload) -> Result<Response> {
+        let service = self.service.name.as_str();
+        let claimed = claim(self.shared, service, key, self.fingerprint, self.deadline).await?;
+        let claim = match claimed {
+            Claimed::Answered(response) => return Ok(response),
+            Claimed::Granted(claim) => claim,
+        };
+        match self.run(payload, false).await {
+            Ok(response) => Ok(self.keep_answer(claim, response).await),
+            Err(error) => {
+                claim.finish(error.verdict(), None);
+                Err(error)
+            }
+        }
+    }
+
+    /// Keeps a short answer with the key; one that is streamed is not kept.
+    async fn keep_answer(&self, claim: KeyClaim, mut response: Response) -> Response {
+        let buffer = self.shared.settings.traffic.buffer;
+        if response.len().is_none_or(|n| n > buffer) {
+            claim.finish(Verdict::MayHaveRun, None);
+            return response;
+        }
+        let Ok(body) = response.body_bytes().await else {
+            claim.finish(Verdict::MayHaveRun, None);
+            return response;
+        };
+        let answer = Answer::new(&response, body.clone());
+        claim.finish(Verdict::Ran, Some(answer));
+        put_body(&mut response, Body::from_bytes(body));
+        response
+    }
+
+    /// Tries one backend server after another.
+    async fn run(&self, payload: Payload, idempotent: bool) -> Result<Response> {
+        self.shared.budget().earn();
+        let mut payload = payload;
+        let replayable = matches!(payload, Payload::Whole(_));
+        let attempts = self.shared.settings.traffic.attempts;
+        let mut progress = CallProgress::new(idempotent, replayable, attempts);
+        let mut alone = None;
+        loop {
+            if self.shared.now() >= self.deadline {
+                return Err(self.late(progress.verdict()));
+            }
+            let Some(target) = self.pick(&progress) else {
+                return Err(self.give_up(&progress, None));
+            };
+            let body = copy_payload(&mut payload);
+            let failure = match self.attempt(target, body).await {
+                Ok(response) => return Ok(response),
+                Err(failure) => failure,
+            };
+            let next = self.follow(&mut progress, target, &failure);
+            match next {
+                NextAttempt::GiveUp => return Err(self.give_up(&progress, Some(&failure))),
+                NextAttempt::Retry { is_alone: true } if alone.is_none() => {
+                    alone = Some(self.shared.suspects.lock().await);
+                    self.check_suspicion()?;
+                }
+                NextAttempt::Retry { .. } => {}
+            }
+        }
+    }
+
+    fn pick(&self, progress: &CallProgress) -> Option<&ServerTarget> {
+        let now = self.shared.now();
+        let mut balancer = self.shared.balancer();
+        balancer.pick(now, self.service, progress.tried())
+    }
+
+    async fn attempt(
+        &self,
+        target: &ServerTarget,
+        payload: Payload,
+    ) -> std::result::Result<Response, Failure> {
+        let trace = self.trace.child(self.shared.bits());
+        let span = debug_span!("attempt", trace = %trace, target = %target.instance);
+        let placed = Placed {
+            shared: self.shared,
+            target,
+            outcome: Outcome::Failed,
+        };
+        let outgoing = Outgoing {
+            target,
+            fingerprint: self.fingerprint,
+            route: self.route.fingerprint,
+            head: self.request.clone(),
+            payload,
+            deadline: self.deadline,
+            trace,
+        };
+        let result = send(self.shared, outgoing).instrument(span).await;
+        placed.finish(result)
+    }
+
+    fn follow(
+        &self,
+        progress: &mut CallProgress,
+        target: &ServerTarget,
+        failure: &Failure,
+    ) -> NextAttempt {
+        debug!(target = %target.instance, verdict = %failure.verdict, message = %failure.message,
+            "attempt failed");
+        let end = AttemptEnd {
+            instance: target.instance,
+            verdict: failure.verdict,
+            refusal: failure.refusal,
+            is_crash: failure.is_crash,
+        };
+        match failure.is_late {
+            true => {
+                let mut none = rf_traffic::RetryBudget::new(0);
+                progress.handle(&end, &mut none);
+                NextAttempt::GiveUp
+            }
+            false => progress.handle(&end, &mut self.shared.budget()),
+        }
+    }
+
+    /// Makes the error of a call that is not tried again.
+    fn give_up(&self, progress: &CallProgress, failure: Option<&Failure>) -> CallError {
+        let service = self.service.name.to_string();
+        let verdict = progress.verdict();
+        if failure.is_some_and(|f| f.is_late) {
+            return self.late(verdict);
+        }
+        if verdict != Verdict::NotRun {
+            let message = failure.map_or("no answer", |f| f.message.as_str());
+            return CallError::Lost {
+                message: message.to_owned(),
+                verdict,
+            };
+        }
+        match progress.refusal() {
+            Some(RefusalReason::Busy | RefusalReason::Shed) => CallError::Busy { service },
+            Some(RefusalReason::Expired) => self.late(Verdict::NotRun),
+            _ => CallError::NoServer { service },
+        }
+    }
+
+    fn late(&self, verdict: Verdict) -> CallError {
+        CallError::Deadline {
+            limit: self.limit,
+            verdict,
+        }
+    }
+}
+
+/// Takes the body for one attempt; only a whole one is left for the next.
+fn copy_payload(payload: &mut Payload) -> Payload {
+    match payload {
+        Payload::Whole(bytes) => Payload::Whole(bytes.clone()),
+        Payload::Streamed(_) => std::mem::replace(payload, Payload::Whole(Vec::new())),
+    }
+}
+
+/// Counts an attempt as in flight until it is dropped.
+struct Placed<'a> {
+    shared: &'a Shared,
+    target: &'a ServerTarget,
+    outcome: Outcome,
+}
+
+impl Placed<'_> {
+    fn finish(mut self, result: AttemptResult) -> std::result::Result<Response, Failure> {
+        match result {
+            AttemptResult::Answered(response, load) => {
+                let is_failure = response.status() as u16 >= 500;
+                self.outcome = match is_failure {
+                    true => Outcome::Failed,
+                    false => Outcome::Answered(load),
+                };
+                Ok(response)
+            }
+            AttemptResult::Failed(failure) => {
+                self.outcome = match failure.refusal {
+                    _ if failure.is_unreachable => Outcome::Unreachable,
+                    Some(RefusalReason::Leaving | RefusalReason::ForeignLife) => Outcome::Leaving,
+                    Some(RefusalReason::Unconnected) => Outcome::Unreachable,
+                    Some(_) => Outcome::Busy,
+                    None => Outcome::Failed,
+                };
+                Err(failure)
+            }
+        }
+    }
+}
+
+impl Drop for Placed<'_> {
+    fn drop(&mut self) {
+        let now = self.shared.now();
+        let mut balancer = self.shared.balancer();
+        balancer.finish(now, self.target.instance, self.outcome);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/traffic/shared.rs
@@ -0,0 +1,201 @@
+//! State that the traffic threads share.
+//!
+//! The routing table and the strikes are immutable snapshots that the control thread swaps whole.
+//! The rest is small state behind short locks; none of them is held across a wait.
+
+use super::answer::Answer;
+use super::gate::Gate;
+use crate::control::Event;
+use crate::control::event::Observation;
+use crate::metrics::Metrics;
+use arc_swap::ArcSwap;
+use async_channel::Sender;
+use rf_base::{AttemptId, Clock, Incarnation, InstanceId, Millis, SeededRandom};
+use rf_config::Settings;
+use rf_protocol::MeshKey;
+use rf_traffic::{
+    Balancer, BalancerSettings, KeyTable, LedgerSettings, RetryBudget, RoutingTable, StrikeBook,
+};
+use rf_transport::{Client, ClientSettings};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tracing::error;
+
+/// Records of idempotency keys at one daemon.
+const KEY_RECORDS: usize = 65_536;
+/// Time for which the record of a key is kept after its call ended.
+const KEY_KEEP: Millis = Millis::from_secs(600);
+
+/// State that the traffic threads share.
+#[derive(Debug)]
+pub struct Shared {
+    /// Settings of the daemon.
+    pub settings: Settings,
+    /// Clock of the process.
+    pub clock: Clock,
+    /// This instance.
+    pub me: InstanceId,
+    /// This life of the daemon.
+    pub incarnation: Incarnation,
+    /// Key of the mesh.
+    pub key: MeshKey,
+    /// Where calls go.
+    pub table: ArcSwap<RoutingTable>,
+    /// Requests that crashed backend servers.
+    pub strikes: ArcSwap<StrikeBook>,
+    /// Gate before the backend server of this instance.
+    pub gate: Gate,
+    /// Connections to other daemons.
+    pub relays: Client,
+    /// Connections to the backend server.
+    pub backend: Client,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Held by the one suspicious call that may be retried at a time.
+    pub suspects: async_std::sync::Mutex<()>,
+    events: Sender<Event>,
+    is_stopping: AtomicBool,
+    in_flight: Arc<AtomicUsize>,
+    balancer: Mutex<Balancer>,
+    budget: Mutex<RetryBudget>,
+    keys: Mutex<KeyTable<Arc<Answer>>>,
+    random: Mutex<SeededRandom>,
+}
+
+impl Shared {
+    /// Makes the shared state of a daemon.
+    pub fn new(
+        settings: Settings,
+        clock: Clock,
+        incarnation: Incarnation,
+        seed: u64,
+        events: Sender<Event>,
+    ) -> Shared {
+        let me = InstanceId::of(&settings.instance);
+        let mut random = SeededRandom::new(seed);
+        let ledger = LedgerSettings {
+            instance: me,
+            incarnation,
+            capacity: settings.traffic.ledger,
+            keep_answer: settings.traffic.keep_answer,
+        };
+        let client = |idle| {
+            Client::new(ClientSettings {
+                connect: settings.traffic.connect,
+                idle,
+            })
+        };
+        let balancer_random = SeededRandom::new(random.bits());
+        Shared {
+            key: MeshKey::new(&settings.mesh, &settings.key),
+            table: ArcSwap::default(),
+            strikes: ArcSwap::default(),
+            gate: Gate::new(ledger, clock.clone()),
+            relays: client(64),
+            backend: client(settings.traffic.backend_connections),
+            metrics: Metrics::new(),
+            suspects: async_std::sync::Mutex::new(()),
+            events,
+            is_stopping: AtomicBool::new(false),
+            in_flight: Arc::default(),
+            balancer: Mutex::new(Balancer::new(BalancerSettings::default(), balancer_random)),
+            budget: Mutex::new(RetryBudget::new(settings.traffic.retry_percent)),
+            keys: Mutex::new(KeyTable::new(KEY_RECORDS, KEY_KEEP)),
+            random: Mutex::new(random),
+            settings,
+            clock,
+            me,
+            incarnation,
+        }
+    }
+
+    /// Returns the current time.
+    pub fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    /// Returns random bits.
+    pub fn bits(&self) -> u64 {
+        lock(&self.random).bits()
+    }
+
+    /// Returns a new attempt id.
+    pub fn new_attempt(&self) -> AttemptId {
+        AttemptId(self.bits())
+    }
+
+    /// Locks the balancer.
+    pub fn balancer(&self) -> MutexGuard<'_, Balancer> {
+        lock(&self.balancer)
+    }
+
+    /// Locks the retry budget.
+    pub fn budget(&self) -> MutexGuard<'_, RetryBudget> {
+        lock(&self.budget)
+    }
+
+    /// Locks the records of idempotency keys.
+    pub fn keys(&self) -> MutexGuard<'_, KeyTable<Arc<Answer>>> {
+        lock(&self.keys)
+    }
+
+    /// Returns whether callers are refused because the daemon is stopping.
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::Relaxed)
+    }
+
+    /// Makes callers be refused from now on.
+    pub fn stop(&self) {
+        self.is_stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Counts a call as in flight until the result is dropped.
+    pub fn enter_call(&self) -> InFlight {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        InFlight(self.in_flight.clone())
+    }
+
+    /// Returns the calls of callers that are being answered.
+    pub fn calls_in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Tells the control thread of a call; drops and counts it where the thread is behind.
+    pub fn observe(&self, observation: Observation) {
+        self.tell(Event::Observed(observation));
+    }
+
+    /// Tells the control thread; drops and counts the event where the thread is behind.
+    pub fn tell(&self, event: Event) {
+        if self.events.try_send(event).is_err() {
+            self.metrics.dropped.inc();
+        }
+    }
+
+    /// Checks an invariant; a broken one is counted and logged, and ends the process where the
+    /// settings say so.
+    pub fn check(&self, holds: bool, name: &str) {
+        if holds {
+            return;
+        }
+        self.metrics.invariants.with_label_values(&[name]).inc();
+        error!(name, "broken invariant");
+        if self.settings.fatal_invariants {
+            std::process::abort();
+        }
+    }
+}
+
+/// Counts one call as in flight.
+#[derive(Debug)]
+pub struct InFlight(Arc<AtomicUsize>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/membership/src/links.rs
@@ -0,0 +1,46 @@
+//! Per-neighbour state: what it has not been told yet, and whether it answers.
+
+use rf_base::{InstanceId, Millis};
+use rf_protocol::Alert;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Descriptions in one message at most.
+pub const MAX_MEMBERS: usize = 128;
+
+/// State of the link to one daemon.
+#[derive(Clone, Debug, Default)]
+pub struct Link {
+    /// Daemons whose descriptions are news to it.
+    pub members: BTreeSet<InstanceId>,
+    /// Alerts that are news to it.
+    pub alerts: BTreeSet<Alert>,
+    /// Exchanges in a row that failed.
+    pub misses: u32,
+    /// Time of the next exchange.
+    pub next: Millis,
+    /// Whether an exchange is under way.
+    pub busy: bool,
+    /// Whether the rosters differed at the last exchange.
+    pub differs: bool,
+    /// Time of the last message either way.
+    pub heard: Millis,
+}
+
+impl Link {
+    /// Takes up to [`MAX_MEMBERS`] descriptions off the link's news.
+    pub fn take_members(&mut self) -> Vec<InstanceId> {
+        let taken: Vec<InstanceId> = self.members.iter().copied().take(MAX_MEMBERS).collect();
+        for id in &taken {
+            self.members.remove(id);
+        }
+        taken
+    }
+
+    /// Takes the alerts off the link's news.
+    pub fn take_alerts(&mut self) -> Vec<Alert> {
+        std::mem::take(&mut self.alerts).into_iter().collect()
+    }
+}
+
+/// Links by daemon.
+pub type Links = BTreeMap<InstanceId, Link>;
--- /dev/null
+++ b/crates/protocol/src/envelope.rs
@@ -0,0 +1,153 @@
+//! Authentication of messages between daemons.
+//!
+//! A sealed message is the mesh's name, a keyed BLAKE3 hash and the body. The hash covers the name
+//! and the body, so a message of another mesh, a changed one, and one by a stranger are told apart
+//! and refused before anything of the body is decoded.
+
+use blake3::Hasher;
+use rmp_serde::config::BytesMode;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+
+/// Longest message that is opened, in bytes.
+pub const MAX_MESSAGE_BYTES: usize = 4 * 1024 * 1024;
+const HASH_BYTES: usize = 32;
+const KEY_CONTEXT: &str = "rosemaryfork daemon messages v1";
+
+/// Error for a message that is refused.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum EnvelopeError {
+    /// The message exceeds the limit.
+    #[snafu(display("message of {size} bytes exceeds {MAX_MESSAGE_BYTES}"))]
+    Oversized {
+        /// Size in bytes.
+        size: usize,
+    },
+    /// The message does not decode.
+    #[snafu(display("malformed message: {message}"))]
+    Malformed {
+        /// What was expected.
+        message: String,
+    },
+    /// The message belongs to another mesh.
+    #[snafu(display("message of mesh \"{mesh}\""))]
+    ForeignMesh {
+        /// Name in the message.
+        mesh: String,
+    },
+    /// The hash does not match: another key, or a changed body.
+    #[snafu(display("message with a wrong key"))]
+    WrongKey,
+}
+
+/// Result of opening or sealing.
+pub type Result<T> = std::result::Result<T, EnvelopeError>;
+
+/// Name of the mesh with its derived key.
+#[derive(Clone)]
+pub struct MeshKey {
+    mesh: String,
+    key: [u8; HASH_BYTES],
+}
+
+impl std::fmt::Debug for MeshKey {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "MeshKey({})", self.mesh)
+    }
+}
+
+#[derive(Serialize, Deserialize)]
+struct Sealed {
+    mesh: String,
+    hash: Vec<u8>,
+    body: Vec<u8>,
+}
+
+impl MeshKey {
+    /// Derives the key of `mesh` from the shared secret.
+    pub fn new(mesh: &str, secret: &str) -> MeshKey {
+        MeshKey {
+            mesh: mesh.to_owned(),
+            key: blake3::derive_key(KEY_CONTEXT, secret.as_bytes()),
+        }
+    }
+
+    /// Returns the keyed hash of `parts`, in hexadecimal.
+    pub fn sign(&self, parts: &str) -> String {
+        self.hash(parts.as_bytes()).to_hex().to_string()
+    }
+
+    /// Returns whether `signature` is the keyed hash of `parts`; the comparison takes the same time
+    /// for every wrong signature.
+    pub fn is_signed(&self, parts: &str, signature: &str) -> bool {
+        blake3::Hash::from_hex(signature).is_ok_and(|hash| hash == self.hash(parts.as_bytes()))
+    }
+
+    fn hash(&self, body: &[u8]) -> blake3::Hash {
+        let mut hasher = Hasher::new_keyed(&self.key);
+        hasher.update(&(self.mesh.len() as u64).to_le_bytes());
+        hasher.update(self.mesh.as_bytes());
+        hasher.update(body);
+        hasher.finalize()
+    }
+}
+
+/// Encodes and seals `message`.
+///
+/// # Errors
+///
+/// Returns [`EnvelopeError::Oversized`] where the result exceeds [`MAX_MESSAGE_BYTES`].
+pub fn seal<T: Serialize>(key: &MeshKey, message: &T) -> Result<Vec<u8>> {
+    let body = encode(message)?;
+    let sealed = encode(&Sealed {
+        mesh: key.mesh.clone(),
+        hash: key.hash(&body).as_bytes().to_vec(),
+        body,
+    })?;
+    match sealed.len() > MAX_MESSAGE_BYTES {
+        true => Err(EnvelopeError::Oversized { size: sealed.len() }),
+        false => Ok(sealed),
+    }
+}
+
+/// Opens and decodes a sealed message.
+///
+/// # Errors
+///
+/// Returns an [`EnvelopeError`] for a message that is oversized, malformed, of another mesh, or
+/// sealed with another key.
+pub fn open<T: DeserializeOwned>(key: &MeshKey, bytes: &[u8]) -> Result<T> {
+    if bytes.len() > MAX_MESSAGE_BYTES {
+        return Err(EnvelopeError::Oversized { size: bytes.len() });
+    }
+    let sealed: Sealed = decode(bytes)?;
+    if sealed.mesh != key.mesh {
+        return Err(EnvelopeError::ForeignMesh { mesh: sealed.mesh });
+    }
+    let hash: [u8; HASH_BYTES] = sealed
+        .hash
+        .try_into()
+        .map_err(|_| EnvelopeError::WrongKey)?;
+    if blake3::Hash::from_bytes(hash) != key.hash(&sealed.body) {
+        return Err(EnvelopeError::WrongKey);
+    }
+    decode(&sealed.body)
+}
+
+fn encode<T: Serialize>(value: &T) -> Result<Vec<u8>> {
+    let mut bytes = Vec::new();
+    let mut serializer = rmp_serde::Serializer::new(&mut bytes).with_bytes(BytesMode::ForceAll);
+    value
+        .serialize(&mut serializer)
+        .map_err(|e| EnvelopeError::Malformed {
+            message: e.to_string(),
+        })?;
+    Ok(bytes)
+}
+
+fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T> {
+    rmp_serde::from_slice(bytes).map_err(|e| EnvelopeError::Malformed {
+        message: e.to_string(),
+    })
+}
--- /dev/null
+++ b/crates/rollout/src/judge.rs
@@ -0,0 +1,327 @@
+//! The judge: is the new version worse than the old one?
+//!
+//! Each window of evidence updates, per route and over all routes, one test for failures and one
+//! for slow calls. A test is a CUSUM of the log-likelihood ratios of [`crate::odds`], one for each
+//! odds ratio in [`RATIOS`]; its floor at zero forgets a good past, so that a version that turns bad
+//! late is found as fast as one that was bad from the start.
+//!
+//! False alarms: a CUSUM is the maximum over its starting points of a likelihood ratio with mean 1,
+//! so by Ville's inequality and a union over at most `W` windows it exceeds `h` with probability at
+//! most `W exp(-h)` if both versions are equally good. With `K` CUSUMs the threshold
+//! `ln(W K / alpha)` keeps the rate of false alarms of a whole move below `alpha`.
+//!
+//! A call is slow if it took at least twice the time below which nine in ten of the old version's
+//! earlier calls stayed; the limit comes from earlier windows only, so it does not depend on the
+//! window that it judges. Latencies of a backend server in its cold start do not count.
+//!
+//! A window is judged [`SETTLE`] after its end; what arrives later is dropped and counted.
+
+use crate::odds::{Margins, compute_log_ratio};
+use rf_base::{InstanceId, Millis};
+use rf_protocol::evidence::{LATENCY_BUCKETS, WINDOW};
+use rf_protocol::{Cell, Evidence, Side};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+/// Odds ratios that are tested against.
+pub const RATIOS: [f64; 3] = [2.0, 5.0, 20.0];
+/// Wait for evidence after the end of a window.
+const SETTLE: Millis = Millis(600);
+/// Calls of the old version that fix the limit of a slow call.
+const LIMIT_CALLS: u64 = 30;
+/// Part of the threshold at which a move holds instead of advancing.
+const SUSPECT_PART: f64 = 0.4;
+
+/// Settings of a [`Judge`].
+#[derive(Clone, Debug)]
+pub struct JudgeSettings {
+    /// Greatest probability that a move of a good version is ever braked.
+    pub alpha: f64,
+    /// Longest time that the move can take.
+    pub horizon: Millis,
+    /// Routes of the service.
+    pub routes: usize,
+}
+
+impl Default for JudgeSettings {
+    fn default() -> Self {
+        JudgeSettings {
+            alpha: 0.01,
+            horizon: Millis::from_secs(3600),
+            routes: 1,
+        }
+    }
+}
+
+/// What the judge thinks of the new version.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Opinion {
+    /// Nothing speaks against it.
+    Clean,
+    /// Some evidence speaks against it, not enough to brake.
+    Suspect,
+    /// It is worse.
+    Bad(String),
+}
+
+/// What a test is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct TestKey {
+    /// Fingerprint of the route; all routes where absent.
+    route: Option<u64>,
+    kind: Kind,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Kind {
+    Failure,
+    Slowness,
+}
+
+impl fmt::Display for TestKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let kind = match self.kind {
+            Kind::Failure => "fails more",
+            Kind::Slowness => "is slower",
+        };
+        match self.route {
+            Some(route) => write!(f, "{kind} on route {route:x}"),
+            None => write!(f, "{kind} over all routes"),
+        }
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct Cusum {
+    sums: [f64; RATIOS.len()],
+    recent: Margins,
+}
+
+/// Counts of both versions in one window.
+#[derive(Clone, Debug, Default)]
+struct Pair {
+    old: Counts,
+    new: Counts,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Counts {
+    calls: u64,
+    failures: u64,
+    /// Calls outside a cold start, by latency.
+    latency: [u64; LATENCY_BUCKETS],
+}
+
+/// State of the judge of one move.
+#[derive(Clone, Debug)]
+pub struct Judge {
+    threshold: f64,
+    seen: BTreeSet<(u64, InstanceId)>,
+    windows: BTreeMap<u64, BTreeMap<u64, Pair>>,
+    judged: u64,
+    tests: BTreeMap<TestKey, Cusum>,
+    baseline: BTreeMap<Option<u64>, [u64; LATENCY_BUCKETS]>,
+    new_calls: u64,
+    old_calls: u64,
+    dropped: u64,
+    verdict: Option<String>,
+}
+
+impl Judge {
+    /// Makes a judge without evidence.
+    pub fn new(settings: &JudgeSettings) -> Judge {
+        let windows = (settings.horizon.0 / WINDOW.0).max(1) as f64;
+        let tests = ((settings.routes + 1) * 2 * RATIOS.len()) as f64;
+        Judge {
+            threshold: (windows * tests / settings.alpha).ln(),
+            seen: BTreeSet::new(),
+            windows: BTreeMap::new(),
+            judged: 0,
+            tests: BTreeMap::new(),
+            baseline: BTreeMap::new(),
+            new_calls: 0,
+            old_calls: 0,
+            dropped: 0,
+            verdict: None,
+        }
+    }
+
+    /// Returns the calls judged so far, on the old version and on the new one.
+    pub fn calls(&self) -> (u64, u64) {
+        (self.old_calls, self.new_calls)
+    }
+
+    /// Returns the number of windows that arrived too late.
+    pub fn dropped(&self) -> u64 {
+        self.dropped
+    }
+
+    /// Takes in evidence; what is known already changes nothing.
+    pub fn absorb(&mut self, evidence: &Evidence) {
+        for window in &evidence.windows {
+            if !self.seen.insert((window.slot, evidence.observer)) {
+                continue;
+            }
+            if window.slot <= self.judged {
+                self.dropped += 1;
+                continue;
+            }
+            let routes = self.windows.entry(window.slot).or_default();
+            for cell in &window.cells {
+                let pair = routes.entry(cell.route).or_default();
+                match evidence.side {
+                    Side::Old => pair.old.add(cell),
+                    Side::New => pair.new.add(cell),
+                }
+            }
+        }
+    }
+
+    /// Judges every window that has settled; returns the opinion so far.
+    pub fn advance(&mut self, now: Millis) -> Opinion {
+        while let Some(entry) = self.windows.first_entry() {
+            let slot = *entry.key();
+            let end = Millis((slot + 1) * WINDOW.0);
+            if now < end + SETTLE {
+                break;
+            }
+            let routes = entry.remove();
+            self.judged = slot;
+            self.judge_window(&routes);
+        }
+        let oldest = self.judged.saturating_sub(1000);
+        self.seen.retain(|(slot, _)| *slot >= oldest);
+        self.opinion()
+    }
+
+    fn opinion(&self) -> Opinion {
+        if let Some(reason) = &self.verdict {
+            return Opinion::Bad(reason.clone());
+        }
+        let top = self.tests.values().map(Cusum::top).fold(0.0, f64::max);
+        match top > self.threshold * SUSPECT_PART {
+            true => Opinion::Suspect,
+            false => Opinion::Clean,
+        }
+    }
+
+    fn judge_window(&mut self, routes: &BTreeMap<u64, Pair>) {
+        let mut total = Pair::default();
+        for (route, pair) in routes {
+            self.judge_pair(Some(*route), pair);
+            total.old.merge(&pair.old);
+            total.new.merge(&pair.new);
+        }
+        self.judge_pair(None, &total);
+        self.old_calls += total.old.calls;
+        self.new_calls += total.new.calls;
+    }
+
+    fn judge_pair(&mut self, route: Option<u64>, pair: &Pair) {
+        let failures = Margins {
+            old_calls: pair.old.calls,
+            old_bad: pair.old.failures,
+            new_calls: pair.new.calls,
+            new_bad: pair.new.failures,
+        };
+        self.update(route, Kind::Failure, failures);
+        let baseline = self.baseline.entry(route).or_default();
+        let limit = slow_bucket(baseline);
+        for (sum, n) in baseline.iter_mut().zip(pair.old.latency) {
+            *sum += n;
+        }
+        if let Some(limit) = limit {
+            let slowness = Margins {
+                old_calls: pair.old.timed(),
+                old_bad: pair.old.slow(limit),
+                new_calls: pair.new.timed(),
+                new_bad: pair.new.slow(limit),
+            };
+            self.update(route, Kind::Slowness, slowness);
+        }
+    }
+
+    fn update(&mut self, route: Option<u64>, kind: Kind, margins: Margins) {
+        let key = TestKey { route, kind };
+        let test = self.tests.entry(key).or_default();
+        test.update(&margins);
+        if test.top() > self.threshold && self.verdict.is_none() {
+            self.verdict = Some(format!("{key}: {}", test.describe()));
+        }
+    }
+}
+
+impl Cusum {
+    fn update(&mut self, margins: &Margins) {
+        if !margins.is_informative() {
+            return;
+        }
+        for (sum, ratio) in self.sums.iter_mut().zip(RATIOS) {
+            *sum = (*sum + compute_log_ratio(margins, ratio)).max(0.0);
+        }
+        if self.top() == 0.0 {
+            self.recent = Margins::default();
+            return;
+        }
+        self.recent.old_calls += margins.old_calls;
+        self.recent.old_bad += margins.old_bad;
+        self.recent.new_calls += margins.new_calls;
+        self.recent.new_bad += margins.new_bad;
+    }
+
+    fn top(&self) -> f64 {
+        self.sums.iter().copied().fold(0.0, f64::max)
+    }
+
+    fn describe(&self) -> String {
+        let m = &self.recent;
+        format!(
+            "{} of {} calls on the new version, {} of {} on the old one",
+            m.new_bad, m.new_calls, m.old_bad, m.old_calls
+        )
+    }
+}
+
+impl Counts {
+    fn add(&mut self, cell: &Cell) {
+        self.calls += u64::from(cell.calls);
+        self.failures += u64::from(cell.failures.min(cell.calls));
+        if cell.is_cold {
+            return;
+        }
+        for (sum, n) in self.latency.iter_mut().zip(cell.latency) {
+            *sum += u64::from(n);
+        }
+    }
+
+    fn merge(&mut self, other: &Counts) {
+        self.calls += other.calls;
+        self.failures += other.failures;
+        for (sum, n) in self.latency.iter_mut().zip(other.latency) {
+            *sum += n;
+        }
+    }
+
+    fn timed(&self) -> u64 {
+        self.latency.iter().sum()
+    }
+
+    fn slow(&self, limit: usize) -> u64 {
+        self.latency[limit..].iter().sum()
+    }
+}
+
+/// Returns the first bucket whose calls took at least twice as long as nine in ten of `baseline`.
+fn slow_bucket(baseline: &[u64; LATENCY_BUCKETS]) -> Option<usize> {
+    let total: u64 = baseline.iter().sum();
+    if total < LIMIT_CALLS {
+        return None;
+    }
+    let mut below = 0;
+    let usual = baseline.iter().position(|n| {
+        below += n;
+        below * 10 >= total * 9
+    })?;
+    let limit = usual + 2;
+    (limit < LATENCY_BUCKETS).then_some(limit)
+}
--- /dev/null
+++ b/crates/standin/src/cluster.rs
@@ -0,0 +1,615 @@
+//! Starts and stops real processes on loopback addresses.
+//!
+//! Every cluster has loopback addresses of its own, so that clusters of different test processes do
+//! not meet. Processes are killed when the cluster is dropped.
+
+use crate::operator::Operator;
+use crate::platform::{Faults, Stats};
+use crate::server::{Behavior, Runs};
+use async_std::task;
+use http_types::{Method, Request, StatusCode, Url};
+use rf_base::{Clock, Counter, InstanceId, Millis, ServiceName, VersionName};
+use rf_config::settings::Listen;
+use rf_config::{Route, Service, Settings, VersionSpec};
+use rf_rollout::change::Document;
+use rf_transport::{Client, Sent};
+use snafu::{ResultExt, Snafu};
+use std::collections::BTreeMap;
+use std::fs::{self, File};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+
+/// Key of every cluster.
+pub const KEY: &str = "a key for tests only";
+/// Path of the service's only route.
+pub const PREFIX: &str = "/pay";
+const CALLERS_PORT: u16 = 7001;
+const SERVER_PORT: u16 = 8000;
+const PLATFORM_HOST: u8 = 250;
+const HOSTS_PER_NET: usize = 200;
+const READY_TIMEOUT: Millis = Millis(30_000);
+const POLL: Millis = Millis(20);
+
+/// Error of the harness.
+#[derive(Debug, Snafu)]
+pub enum ClusterError {
+    /// A file or a process could not be made.
+    #[snafu(display("{what}: {source}"))]
+    Io {
+        /// What was tried.
+        what: String,
+        /// Error of the operating system.
+        source: std::io::Error,
+    },
+    /// Something did not happen in time.
+    #[snafu(display("{what} did not happen within {limit}"))]
+    Timeout {
+        /// What was waited for.
+        what: String,
+        /// Limit.
+        limit: Millis,
+    },
+    /// A process refused a request.
+    #[snafu(display("{what}: {message}"))]
+    Refused {
+        /// What was asked.
+        what: String,
+        /// What it said.
+        message: String,
+    },
+}
+
+/// Result of the harness.
+pub type Result<T> = std::result::Result<T, ClusterError>;
+
+/// One instance to start.
+#[derive(Clone, Debug)]
+pub struct InstanceSpec {
+    /// Name.
+    pub name: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Region.
+    pub region: String,
+    /// Service of its backend server; none is started where empty.
+    pub service: String,
+    /// Version of its backend server.
+    pub version: String,
+    /// Slots of its backend server.
+    pub slots: u32,
+    /// How its backend server answers.
+    pub behavior: Behavior,
+    /// Where other daemons are told to send attempts, if not to the daemon itself.
+    pub relay: Option<SocketAddr>,
+}
+
+impl Default for InstanceSpec {
+    fn default() -> Self {
+        InstanceSpec {
+            name: String::new(),
+            zone: "zone-1".to_owned(),
+            region: "region-1".to_owned(),
+            service: "payments".to_owned(),
+            version: "v1".to_owned(),
+            slots: 6,
+            behavior: Behavior::default(),
+            relay: None,
+        }
+    }
+}
+
+/// Names of programs to run.
+#[derive(Clone, Debug)]
+pub struct Programs {
+    /// The product.
+    pub rosemaryfork: PathBuf,
+    /// The stand-ins.
+    pub standin: PathBuf,
+}
+
+impl Programs {
+    /// Finds the programs beside the running one, or one folder up.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that says what to build where they are not there.
+    pub fn find() -> Result<Programs> {
+        let exe = std::env::current_exe().context(IoSnafu {
+            what: "own program",
+        })?;
+        let folders = exe.ancestors().skip(1).take(2);
+        for folder in folders {
+            let programs = Programs {
+                rosemaryfork: folder.join("rosemaryfork"),
+                standin: folder.join("rf-standin"),
+            };
+            if programs.rosemaryfork.exists() && programs.standin.exists() {
+                return Ok(programs);
+            }
+        }
+        Err(ClusterError::Refused {
+            what: "programs".to_owned(),
+            message: "not built; run cargo build --workspace first".to_owned(),
+        })
+    }
+}
+
+/// A running instance.
+#[derive(Debug)]
+pub struct Instance {
+    /// What was started.
+    pub spec: InstanceSpec,
+    /// Settings of its daemon.
+    pub settings: Settings,
+    /// Its daemon.
+    pub daemon: Option<Child>,
+    /// Its backend server.
+    pub server: Option<Child>,
+}
+
+impl Instance {
+    /// Returns the callers' address of its daemon.
+    pub fn callers(&self) -> SocketAddr {
+        self.settings.listen.callers
+    }
+
+    /// Returns the client of its operators' port.
+    pub fn operator(&self) -> Operator {
+        Operator::new(self.settings.listen.operators, KEY)
+    }
+
+    /// Returns the address of its backend server.
+    pub fn server_address(&self) -> SocketAddr {
+        SocketAddr::new(self.settings.listen.callers.ip(), SERVER_PORT)
+    }
+
+    /// Returns its id.
+    pub fn id(&self) -> InstanceId {
+        InstanceId::of(&self.spec.name)
+    }
+}
+
+/// A cluster of processes.
+#[derive(Debug)]
+pub struct Cluster {
+    /// Instances in the order of their start.
+    pub instances: Vec<Instance>,
+    programs: Programs,
+    platform: Option<Child>,
+    net: (u8, u8),
+    folder: PathBuf,
+    settings: Settings,
+    client: Client,
+    clock: Clock,
+}
+
+static CLUSTERS: AtomicU8 = AtomicU8::new(0);
+
+impl Cluster {
+    /// Starts the platform stand-in; daemons get `settings` with their own names and addresses.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where a process does not start.
+    pub async fn start(settings: Settings) -> Result<Cluster> {
+        let number = CLUSTERS.fetch_add(1, Ordering::Relaxed);
+        let pid = std::process::id();
+        let net = (
+            (1 + pid % 250) as u8,
+            (pid / 250 * 4) as u8 ^ number.wrapping_mul(8),
+        );
+        let folder = std::env::temp_dir().join(format!("rosemaryfork-{pid}-{number}"));
+        fs::create_dir_all(&folder).context(IoSnafu {
+            what: "folder for logs",
+        })?;
+        let mut cluster = Cluster {
+            instances: Vec::new(),
+            programs: Programs::find()?,
+            platform: None,
+            net,
+            folder,
+            settings,
+            client: Client::default(),
+            clock: Clock::system(),
+        };
+        cluster.start_platform().await?;
+        Ok(cluster)
+    }
+
+    /// Starts the platform stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where it does not start.
+    pub async fn start_platform(&mut self) -> Result<()> {
+        let address = self.platform_address().to_string();
+        let args = ["platform", "--listen", &address];
+        let child = self.spawn(&self.programs.standin.clone(), &args, "platform")?;
+        self.platform = Some(child);
+        self.set_platform_faults(Faults::default()).await
+    }
+
+    /// Returns the address of the platform stand-in.
+    pub fn platform_address(&self) -> SocketAddr {
+        SocketAddr::new(self.ip(PLATFORM_HOST, 0), 7100)
+    }
+
+    /// Returns the address that the instance at `index` has, whether it is started or not.
+    pub fn address_of(&self, index: usize, port: u16) -> SocketAddr {
+        let host = (index % HOSTS_PER_NET + 1) as u8;
+        let net = (index / HOSTS_PER_NET) as u8;
+        SocketAddr::new(self.ip(host, net), port)
+    }
+
+    fn ip(&self, host: u8, net: u8) -> IpAddr {
+        let (a, b) = self.net;
+        IpAddr::V4(Ipv4Addr::new(127, a, b.wrapping_add(net), host))
+    }
+
+    /// Starts one more instance; its daemon joins through the first ones.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where a process does not start.
+    pub fn add(&mut self, spec: InstanceSpec) -> Result<usize> {
+        let index = self.instances.len();
+        let settings = self.settings_for(index, &spec);
+        self.instances.push(Instance {
+            spec,
+            settings,
+            daemon: None,
+            server: None,
+        });
+        self.start_daemon(index)?;
+        self.start_server(index)?;
+        Ok(index)
+    }
+
+    fn settings_for(&self, index: usize, spec: &InstanceSpec) -> Settings {
+        let at = |port| self.address_of(index, port);
+        let seeds = (0..index.min(3)).map(|i| self.address_of(i, 7003));
+        Settings {
+            mesh: "test".to_owned(),
+            key: KEY.to_owned(),
+            instance: spec.name.clone(),
+            zone: spec.zone.as_str().into(),
+            region: spec.region.clone(),
+            listen: Listen {
+                callers: at(CALLERS_PORT),
+                relay: at(7002),
+                peers: at(7003),
+                operators: at(7004),
+            },
+            platform: self.platform_address(),
+            seeds: seeds.collect(),
+            fatal_invariants: true,
+            ..self.settings.clone()
+        }
+    }
+
+    /// Starts the daemon of an instance.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where it does not start.
+    pub fn start_daemon(&mut self, index: usize) -> Result<()> {
+        let instance = &self.instances[index];
+        let name = instance.spec.name.clone();
+        let path = self.folder.join(format!("{name}.json"));
+        let text = serde_json::to_string_pretty(&instance.settings).unwrap_or_default();
+        fs::write(&path, text).context(IoSnafu {
+            what: "settings file",
+        })?;
+        let path = path.to_string_lossy().into_owned();
+        let args = ["daemon", "--settings", &path];
+        let log = format!("{name}-daemon");
+        let child = self.spawn(&self.programs.rosemaryfork.clone(), &args, &log)?;
+        self.instances[index].daemon = Some(child);
+        Ok(())
+    }
+
+    /// Starts the backend server of an instance, if it has one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where it does not start.
+    pub fn start_server(&mut self, index: usize) -> Result<()> {
+        let instance = &self.instances[index];
+        let spec = instance.spec.clone();
+        if spec.service.is_empty() {
+            return Ok(());
+        }
+        let behavior = serde_json::to_string(&spec.behavior).unwrap_or_default();
+        let args = [
+            "server".to_owned(),
+            format!("--listen={}", instance.server_address()),
+            format!("--service={}", spec.service),
+            format!("--version={}", spec.version),
+            format!("--slots={}", spec.slots),
+            format!("--operator={}", instance.settings.listen.operators),
+            format!("--callers={}", instance.callers()),
+            format!("--key={KEY}"),
+            format!("--behavior={behavior}"),
+        ];
+        let args: Vec<&str> = args.iter().map(String::as_str).collect();
+        let log = format!("{}-server", spec.name);
+        let child = self.spawn(&self.programs.standin.clone(), &args, &log)?;
+        self.instances[index].server = Some(child);
+        Ok(())
+    }
+
+    fn spawn(&self, program: &Path, args: &[&str], log: &str) -> Result<Child> {
+        let what = || format!("starting {log}");
+        let path = self.folder.join(format!("{log}.log"));
+        let file = File::options()
+            .create(true)
+            .append(true)
+            .open(path)
+            .with_context(|_| IoSnafu { what: what() })?;
+        Command::new(program)
+            .args(args)
+            .env("ASYNC_STD_THREAD_COUNT", "2")
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(file)
+            .spawn()
+            .with_context(|_| IoSnafu { what: what() })
+    }
+
+    /// Waits until every running daemon knows every other and runs at least configuration `counter`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where that does not happen in time.
+    pub async fn wait_in_force(&self, counter: Counter) -> Result<()> {
+        let expected = self.instances.iter().filter(|i| i.daemon.is_some()).count();
+        let what = format!("configuration {counter} in force on {expected} daemons");
+        self.wait_until(&what, READY_TIMEOUT, async || {
+            for instance in self.instances.iter().filter(|i| i.daemon.is_some()) {
+                let Ok(status) = instance.operator().status().await else {
+                    return false;
+                };
+                let is_whole = status.reachable == expected && status.in_force == expected;
+                if !is_whole || status.counter < counter {
+                    return false;
+                }
+            }
+            true
+        })
+        .await
+    }
+
+    /// Waits until every running daemon sees `count` available backend servers.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where that does not happen in time.
+    pub async fn wait_servers(&self, count: usize) -> Result<()> {
+        let what = format!("{count} backend servers announced everywhere");
+        self.wait_until(&what, READY_TIMEOUT, async || {
+            for instance in self.instances.iter().filter(|i| i.daemon.is_some()) {
+                let Ok(status) = instance.operator().status().await else {
+                    return false;
+                };
+                if status.servers.iter().filter(|s| s.is_available).count() != count {
+                    return false;
+                }
+            }
+            true
+        })
+        .await
+    }
+
+    /// Waits until `condition` holds.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where it does not hold within `limit`.
+    pub async fn wait_until(
+        &self,
+        what: &str,
+        limit: Millis,
+        condition: impl AsyncFn() -> bool,
+    ) -> Result<()> {
+        let end = self.clock.now() + limit;
+        while !condition().await {
+            if self.clock.now() >= end {
+                return Err(ClusterError::Timeout {
+                    what: what.to_owned(),
+                    limit,
+                });
+            }
+            task::sleep(POLL.duration()).await;
+        }
+        Ok(())
+    }
+
+    /// Sends a signal to the daemon of an instance, and forgets it after `KILL`.
+    pub fn signal_daemon(&mut self, index: usize, signal: &str) {
+        let daemon = &mut self.instances[index].daemon;
+        signal_child(daemon, signal);
+    }
+
+    /// Sends a signal to the backend server of an instance, and forgets it after `KILL`.
+    pub fn signal_server(&mut self, index: usize, signal: &str) {
+        let server = &mut self.instances[index].server;
+        signal_child(server, signal);
+    }
+
+    /// Sends `SIGTERM` to a daemon and waits for its end; returns whether it exited with success.
+    pub async fn stop_daemon(&mut self, index: usize) -> bool {
+        signal_child(&mut self.instances[index].daemon, "TERM");
+        let Some(mut child) = self.instances[index].daemon.take() else {
+            return false;
+        };
+        loop {
+            match child.try_wait() {
+                Ok(Some(status)) => return status.success(),
+                Ok(None) => task::sleep(POLL.duration()).await,
+                Err(_) => return false,
+            }
+        }
+    }
+
+    /// Returns whether the process of an instance's backend server has ended.
+    pub fn is_server_down(&mut self, index: usize) -> bool {
+        match &mut self.instances[index].server {
+            Some(child) => !matches!(child.try_wait(), Ok(None)),
+            None => true,
+        }
+    }
+
+    /// Changes what goes wrong at the platform stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where it does not answer.
+    pub async fn set_platform_faults(&self, faults: Faults) -> Result<()> {
+        let body = serde_json::to_vec(&faults).unwrap_or_default();
+        let address = self.platform_address();
+        self.wait_until("the platform's answer", READY_TIMEOUT, async || {
+            let sent = self.put(address, "/faults", body.clone()).await;
+            sent.is_ok_and(|s| s.status() == StatusCode::Ok)
+        })
+        .await
+    }
+
+    /// Returns the calls made to the platform stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where it does not answer.
+    pub async fn platform_stats(&self) -> Result<Stats> {
+        self.get_json(self.platform_address(), "/stats").await
+    }
+
+    /// Returns what the backend server of an instance ran.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where it does not answer.
+    pub async fn runs(&self, index: usize) -> Result<Runs> {
+        let address = self.instances[index].server_address();
+        self.get_json(address, "/_runs").await
+    }
+
+    /// Returns how often each request id ran, over all backend servers that are up.
+    pub async fn all_runs(&self) -> BTreeMap<String, u32> {
+        let mut sum = BTreeMap::new();
+        for index in 0..self.instances.len() {
+            let Ok(runs) = self.runs(index).await else {
+                continue;
+            };
+            for (id, n) in runs.runs {
+                *sum.entry(id).or_default() += n;
+            }
+        }
+        sum
+    }
+
+    /// Changes how the backend server of an instance answers.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where it does not answer.
+    pub async fn set_behavior(&self, index: usize, behavior: &Behavior) -> Result<()> {
+        let body = serde_json::to_vec(behavior).unwrap_or_default();
+        let address = self.instances[index].server_address();
+        self.put(address, "/_behavior", body).await?;
+        Ok(())
+    }
+
+    async fn get_json<T: serde::de::DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+    ) -> Result<T> {
+        let sent = self.send(Method::Get, address, path, Vec::new()).await?;
+        serde_json::from_slice(&sent.body).map_err(|e| ClusterError::Refused {
+            what: path.to_owned(),
+            message: e.to_string(),
+        })
+    }
+
+    async fn put(&self, address: SocketAddr, path: &str, body: Vec<u8>) -> Result<Sent> {
+        self.send(Method::Put, address, path, body).await
+    }
+
+    async fn send(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<Sent> {
+        let refused = |message: String| ClusterError::Refused {
+            what: path.to_owned(),
+            message,
+        };
+        let url = Url::parse(&format!("http://{address}{path}"));
+        let mut request = Request::new(method, url.map_err(|e| refused(e.to_string()))?);
+        request.set_body(body);
+        let limit = Millis(2000);
+        let sent = self.client.send_fresh(address, request, limit, 16 << 20);
+        sent.await.map_err(|e| refused(e.to_string()))
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        for instance in &mut self.instances {
+            kill(instance.daemon.take());
+            kill(instance.server.take());
+        }
+        kill(self.platform.take());
+        if std::env::var_os("ROSEMARYFORK_KEEP_LOGS").is_none() {
+            fs::remove_dir_all(&self.folder).ok();
+        }
+    }
+}
+
+fn kill(child: Option<Child>) {
+    if let Some(mut child) = child {
+        child.kill().ok();
+        child.wait().ok();
+    }
+}
+
+fn signal_child(child: &mut Option<Child>, signal: &str) {
+    let Some(process) = child else {
+        return;
+    };
+    let pid = process.id().to_string();
+    Command::new("kill")
+        .args(["-s", signal, &pid])
+        .status()
+        .ok();
+    if signal == "KILL" {
+        kill(child.take());
+    }
+}
+
+/// Makes a configuration of one service with the given weights and one route.
+pub fn one_service(weights: &[(&str, u32)]) -> Document {
+    let versions = weights.iter().map(|(name, weight)| {
+        let spec = VersionSpec { weight: *weight };
+        (VersionName::from(*name), spec)
+    });
+    let service = Service {
+        versions: versions.collect(),
+        cold_start: Millis(500),
+        ..Service::default()
+    };
+    let name = ServiceName::from("payments");
+    Document {
+        services: BTreeMap::from([(name.clone(), service)]),
+        routes: vec![Route {
+            host: "*".to_owned(),
+            prefix: PREFIX.to_owned(),
+            service: name,
+            ..Route::default()
+        }],
+    }
+}
--- /dev/null
+++ b/crates/standin/src/load.rs
@@ -0,0 +1,291 @@
+//! Calls like callers do, and counts what comes back.
+
+use async_std::task;
+use hdrhistogram::Histogram;
+use http_types::{Method, Request, Url};
+use rf_base::{Millis, Verdict};
+use rf_transport::{Client, ClientSettings, Sent};
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+/// Longest answer.
+const MAX_BODY: usize = 16 * 1024 * 1024;
+/// Longest latency that is told apart, in microseconds.
+const MAX_LATENCY_US: u64 = 60_000_000;
+
+/// What to call, and how much.
+#[derive(Clone, Debug)]
+pub struct LoadOptions {
+    /// Addresses that are called in turn.
+    pub targets: Vec<SocketAddr>,
+    /// Path and query.
+    pub path: String,
+    /// Method.
+    pub method: Method,
+    /// Calls at a time.
+    pub workers: usize,
+    /// Calls a second over all workers; as fast as answers come where 0.
+    pub rate: u64,
+    /// Longest wait for an answer.
+    pub timeout: Millis,
+    /// Prefix of request ids, which tells runs apart.
+    pub id: String,
+}
+
+impl Default for LoadOptions {
+    fn default() -> Self {
+        LoadOptions {
+            targets: Vec::new(),
+            path: "/".to_owned(),
+            method: Method::Get,
+            workers: 8,
+            rate: 0,
+            timeout: Millis::from_secs(15),
+            id: "load".to_owned(),
+        }
+    }
+}
+
+/// What became of one call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallRecord {
+    /// Request id.
+    pub id: String,
+    /// Status code; 0 where there was no whole answer.
+    pub status: u16,
+    /// Verdict that the caller was told.
+    pub verdict: Option<Verdict>,
+    /// Version that answered.
+    pub version: Option<String>,
+    /// Whether the answer was that to another request.
+    pub is_crossed: bool,
+    /// Time since the start of the load.
+    pub at: Millis,
+}
+
+/// Load under way.
+#[derive(Clone, Debug)]
+pub struct Load {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    options: LoadOptions,
+    client: Client,
+    is_over: AtomicBool,
+    next: AtomicU64,
+    records: Mutex<Vec<CallRecord>>,
+    latency: Mutex<Histogram<u64>>,
+    start: Instant,
+    workers: AtomicU64,
+}
+
+/// What a load brought.
+#[derive(Clone, Debug)]
+pub struct Report {
+    /// Every call.
+    pub records: Vec<CallRecord>,
+    /// Latency of answered calls in microseconds.
+    pub latency: Histogram<u64>,
+    /// Time that the load took.
+    pub span: Duration,
+}
+
+/// Figures of a report.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Figures {
+    /// Calls.
+    pub calls: usize,
+    /// Calls with status 200.
+    pub ok: usize,
+    /// Calls by verdict that the caller was told.
+    pub verdicts: BTreeMap<String, usize>,
+    /// Calls by status code.
+    pub statuses: BTreeMap<u16, usize>,
+    /// Answered calls by version.
+    pub versions: BTreeMap<String, usize>,
+    /// Answers to another request.
+    pub crossed: usize,
+    /// Calls with status 200 a second.
+    pub goodput: f64,
+    /// Median latency in microseconds.
+    pub p50_us: u64,
+    /// 99th percentile in microseconds.
+    pub p99_us: u64,
+    /// 99.9th percentile in microseconds.
+    pub p999_us: u64,
+}
+
+impl Load {
+    /// Starts calling.
+    pub fn start(options: LoadOptions) -> Load {
+        let workers = options.workers;
+        let shared = Arc::new(Shared {
+            client: Client::new(ClientSettings {
+                connect: Millis(1000),
+                idle: workers + 1,
+            }),
+            options,
+            is_over: AtomicBool::new(false),
+            next: AtomicU64::new(0),
+            records: Mutex::default(),
+            latency: Mutex::new(new_histogram()),
+            start: Instant::now(),
+            workers: AtomicU64::new(workers as u64),
+        });
+        for _ in 0..workers {
+            task::spawn(work(shared.clone()));
+        }
+        Load { shared }
+    }
+
+    /// Returns the number of calls that ended so far.
+    pub fn ended(&self) -> usize {
+        lock(&self.shared.records).len()
+    }
+
+    /// Returns what came back so far.
+    pub fn report(&self) -> Report {
+        Report {
+            records: lock(&self.shared.records).clone(),
+            latency: lock(&self.shared.latency).clone(),
+            span: self.shared.start.elapsed(),
+        }
+    }
+
+    /// Stops calling, waits for calls in flight, and returns what came back.
+    pub async fn stop(self) -> Report {
+        self.shared.is_over.store(true, Ordering::Relaxed);
+        let span = self.shared.start.elapsed();
+        while self.shared.workers.load(Ordering::Relaxed) > 0 {
+            task::sleep(Duration::from_millis(5)).await;
+        }
+        Report {
+            span,
+            ..self.report()
+        }
+    }
+}
+
+fn new_histogram() -> Histogram<u64> {
+    Histogram::new_with_max(MAX_LATENCY_US, 3).expect("bounds are valid")
+}
+
+async fn work(shared: Arc<Shared>) {
+    while !shared.is_over.load(Ordering::Relaxed) {
+        let number = shared.next.fetch_add(1, Ordering::Relaxed);
+        // Under a rate, latency counts from the time at which the call was due.
+        let due = match shared.options.rate {
+            0 => Instant::now(),
+            rate => shared.start + Duration::from_secs_f64(number as f64 / rate as f64),
+        };
+        let wait = due.saturating_duration_since(Instant::now());
+        if !wait.is_zero() {
+            task::sleep(wait).await;
+        }
+        call(&shared, number, due).await;
+    }
+    shared.workers.fetch_sub(1, Ordering::Relaxed);
+}
+
+async fn call(shared: &Shared, number: u64, due: Instant) {
+    let options = &shared.options;
+    let id = format!("{}-{number}", options.id);
+    let target = options.targets[number as usize % options.targets.len()];
+    let at = Millis(shared.start.elapsed().as_millis() as u64);
+    let result = send(&shared.client, options, target, &id).await;
+    let latency = due.elapsed().as_micros() as u64;
+    let record = match &result {
+        Some(sent) => describe(id, at, sent),
+        None => CallRecord {
+            id,
+            status: 0,
+            verdict: None,
+            version: None,
+            is_crossed: false,
+            at,
+        },
+    };
+    if record.status == 200 {
+        lock(&shared.latency).saturating_record(latency);
+    }
+    lock(&shared.records).push(record);
+}
+
+async fn send(
+    client: &Client,
+    options: &LoadOptions,
+    target: SocketAddr,
+    id: &str,
+) -> Option<Sent> {
+    let url = Url::parse(&format!("http://{target}{}", options.path)).ok()?;
+    let mut request = Request::new(options.method, url);
+    request.insert_header("x-request-id", id);
+    let sent = client.send(target, request, options.timeout, MAX_BODY);
+    sent.await.ok()
+}
+
+fn describe(id: String, at: Millis, sent: &Sent) -> CallRecord {
+    let echoed = sent.header("x-request-id");
+    CallRecord {
+        status: sent.status() as u16,
+        verdict: sent
+            .header("rosemaryfork-verdict")
+            .and_then(|v| v.parse().ok()),
+        version: sent.header("x-version").map(str::to_owned),
+        is_crossed: echoed.is_some_and(|e| e != id),
+        id,
+        at,
+    }
+}
+
+impl Report {
+    /// Computes the figures.
+    pub fn figures(&self) -> Figures {
+        let mut figures = Figures {
+            calls: self.records.len(),
+            p50_us: self.latency.value_at_quantile(0.5),
+            p99_us: self.latency.value_at_quantile(0.99),
+            p999_us: self.latency.value_at_quantile(0.999),
+            ..Figures::default()
+        };
+        for record in &self.records {
+            figures.ok += usize::from(record.status == 200);
+            figures.crossed += usize::from(record.is_crossed);
+            *figures.statuses.entry(record.status).or_default() += 1;
+            let verdict = record.verdict.map_or("none", Verdict::as_str).to_owned();
+            *figures.verdicts.entry(verdict).or_default() += 1;
+            if let Some(version) = &record.version {
+                *figures.versions.entry(version.clone()).or_default() += 1;
+            }
+        }
+        figures.goodput = figures.ok as f64 / self.span.as_secs_f64();
+        figures
+    }
+
+    /// Checks every call against what really ran; returns each promise that was broken.
+    pub fn find_broken_promises(&self, runs: &BTreeMap<String, u32>) -> Vec<String> {
+        let check = |record: &CallRecord| {
+            let n = runs.get(&record.id).copied().unwrap_or(0);
+            let id = &record.id;
+            match record.verdict {
+                _ if record.is_crossed => Some(format!("{id}: got another call's answer")),
+                _ if n > 1 => Some(format!("{id}: ran {n} times")),
+                Some(Verdict::NotRun) if n > 0 => Some(format!("{id}: told not run, but ran")),
+                Some(Verdict::Ran) if n == 0 => Some(format!("{id}: told ran, but did not")),
+                None => Some(format!("{id}: no answer with a verdict")),
+                _ => None,
+            }
+        };
+        self.records.iter().filter_map(check).collect()
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/standin/src/main.rs
@@ -0,0 +1,134 @@
+//! Command line of the stand-ins; for tests and measurements only.
+
+use async_std::task;
+use bpaf::{OptionParser, Parser, construct, long};
+use rf_standin::operator::Operator;
+use rf_standin::platform::Platform;
+use rf_standin::proxy::Proxy;
+use rf_standin::quickstart;
+use rf_standin::server::{Behavior, Server, ServerOptions};
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+/// One command.
+#[derive(Clone, Debug)]
+enum Command {
+    Platform {
+        listen: SocketAddr,
+    },
+    Server(ServerOptions),
+    Proxy {
+        listen: SocketAddr,
+        target: SocketAddr,
+        control: SocketAddr,
+    },
+    Quickstart,
+}
+
+fn main() -> ExitCode {
+    let result = match parser().run() {
+        Command::Platform { listen } => {
+            task::block_on(Platform::default().run(listen)).map_err(|e| e.to_string())
+        }
+        Command::Server(options) => {
+            task::block_on(Server::new(options).run()).map_err(|e| e.to_string())
+        }
+        Command::Proxy {
+            listen,
+            target,
+            control,
+        } => {
+            task::block_on(Proxy::default().run(listen, target, control)).map_err(|e| e.to_string())
+        }
+        Command::Quickstart => task::block_on(quickstart::run()).map_err(|e| e.to_string()),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("error: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn parser() -> OptionParser<Command> {
+    construct!([platform(), server(), proxy(), quickstart_command()])
+        .to_options()
+        .descr("Stand-ins for what surrounds rosemaryfork; for tests and measurements only.")
+}
+
+fn address(name: &'static str, help: &'static str) -> impl Parser<SocketAddr> {
+    long(name).help(help).argument::<SocketAddr>("IP:PORT")
+}
+
+fn platform() -> impl Parser<Command> {
+    let listen = address("listen", "Where to serve the object API");
+    construct!(Command::Platform { listen })
+        .to_options()
+        .descr("Stands in for the platform's object API.")
+        .command("platform")
+}
+
+fn server() -> impl Parser<Command> {
+    let address_option = address("listen", "Where to serve calls");
+    let service = long("service").help("Service").argument::<String>("NAME");
+    let version = long("version").help("Version").argument::<String>("NAME");
+    let slots = long("slots").help("Calls at a time").argument::<u32>("N");
+    let daemon = address("operator", "Operators' port of its daemon");
+    let callers = address("callers", "Callers' port of its daemon");
+    let key = long("key")
+        .help("Key of the mesh")
+        .argument::<String>("KEY");
+    let behavior = long("behavior")
+        .help("How it answers, JSON")
+        .argument::<String>("JSON")
+        .parse(|text| rf_config::from_json::<Behavior>(&text))
+        .fallback(Behavior::default());
+    construct!(
+        address_option,
+        service,
+        version,
+        slots,
+        daemon,
+        callers,
+        key,
+        behavior
+    )
+    .map(
+        |(address, service, version, slots, daemon, callers, key, behavior)| {
+            Command::Server(ServerOptions {
+                address,
+                service,
+                version,
+                slots,
+                operator: Operator::new(daemon, &key),
+                callers,
+                behavior,
+            })
+        },
+    )
+    .to_options()
+    .descr("Stands in for a backend server.")
+    .command("server")
+}
+
+fn proxy() -> impl Parser<Command> {
+    let listen = address("listen", "Where to take connections");
+    let target = address("target", "Where to forward them");
+    let control = address("control", "Where to take changes of faults");
+    construct!(Command::Proxy {
+        listen,
+        target,
+        control
+    })
+    .to_options()
+    .descr("Forwards TCP connections and injects faults.")
+    .command("proxy")
+}
+
+fn quickstart_command() -> impl Parser<Command> {
+    bpaf::pure(Command::Quickstart)
+        .to_options()
+        .descr("Runs the main job, end to end, and checks the promises.")
+        .command("quickstart")
+}
--- /dev/null
+++ b/crates/standin/src/measure.rs
@@ -0,0 +1,1 @@
+//! Measurements with real processes.
--- /dev/null
+++ b/crates/standin/src/operator.rs
@@ -0,0 +1,184 @@
+//! Small client of a daemon's operators' port, for stand-ins, tests and measurements.
+
+use http_types::{Method, Request, StatusCode, Url};
+use rf_base::{Millis, MoveId};
+use rf_config::{Intent, Plan};
+use rf_daemon::control::event::{Accepted, Announcement, Confirmed};
+use rf_daemon::control::status::{MoveView, StatusView};
+use rf_rollout::change::Document;
+use rf_transport::{Client, ClientSettings};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use snafu::Snafu;
+use std::net::SocketAddr;
+
+/// Longest wait for an answer.
+const TIMEOUT: Millis = Millis(12_000);
+/// Longest answer.
+const MAX_ANSWER: usize = 16 * 1024 * 1024;
+
+/// Error of one request.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("status {status}: {message}"))]
+pub struct OperatorError {
+    /// Status code; 0 where there was no answer.
+    pub status: u16,
+    /// What the daemon says.
+    pub message: String,
+}
+
+/// Result of one request.
+pub type Result<T> = std::result::Result<T, OperatorError>;
+
+/// Client of one daemon's operators' port.
+#[derive(Clone, Debug)]
+pub struct Operator {
+    address: SocketAddr,
+    key: String,
+}
+
+impl Operator {
+    /// Makes a client.
+    pub fn new(address: SocketAddr, key: &str) -> Operator {
+        Operator {
+            address,
+            key: key.to_owned(),
+        }
+    }
+
+    /// Announces a backend server.
+    ///
+    /// # Errors
+    ///
+    /// Returns the daemon's error.
+    pub async fn announce(&self, announcement: &Announcement) -> Result<()> {
+        self.send::<_, Accepted>(Method::Put, "/v1/announce", announcement)
+            .await?;
+        Ok(())
+    }
+
+    /// Applies services and routes.
+    ///
+    /// # Errors
+    ///
+    /// Returns the daemon's error.
+    pub async fn apply(&self, document: &Document) -> Result<Accepted> {
+        self.send(Method::Post, "/v1/apply", document).await
+    }
+
+    /// States an intent.
+    ///
+    /// # Errors
+    ///
+    /// Returns the daemon's error.
+    pub async fn plan(&self, intent: &Intent) -> Result<Plan> {
+        self.send(Method::Post, "/v1/plans", intent).await
+    }
+
+    /// Confirms a plan.
+    ///
+    /// # Errors
+    ///
+    /// Returns the daemon's error.
+    pub async fn confirm(&self, plan: &Plan) -> Result<Confirmed> {
+        let path = format!("/v1/plans/{}/confirm", plan.id);
+        self.send(Method::Post, &path, &()).await
+    }
+
+    /// Returns the mesh as the daemon sees it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the daemon's error.
+    pub async fn status(&self) -> Result<StatusView> {
+        self.send(Method::Get, "/v1/status", &()).await
+    }
+
+    /// Returns one move.
+    ///
+    /// # Errors
+    ///
+    /// Returns the daemon's error, or status 404 where there is no such move.
+    pub async fn find_move(&self, id: MoveId) -> Result<MoveView> {
+        let moves: Vec<MoveView> = self.send(Method::Get, "/v1/moves", &()).await?;
+        moves.into_iter().find(|m| m.id == id).ok_or(OperatorError {
+            status: 404,
+            message: format!("no move {id}"),
+        })
+    }
+
+    /// Returns the daemon's metrics as text.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where there is no answer.
+    pub async fn metrics(&self) -> Result<String> {
+        let body = self.send_raw(Method::Get, "/metrics", Vec::new()).await?;
+        Ok(String::from_utf8_lossy(&body).into_owned())
+    }
+
+    /// Returns the sum of a metric over its labels that contain `label`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where there is no answer.
+    pub async fn metric(&self, name: &str, label: &str) -> Result<f64> {
+        let text = self.metrics().await?;
+        Ok(sum_metric(&text, name, label))
+    }
+
+    async fn send<B: Serialize, T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: &B,
+    ) -> Result<T> {
+        let broken = |e: serde_json::Error| OperatorError {
+            status: 0,
+            message: e.to_string(),
+        };
+        let bytes = match method {
+            Method::Get => Vec::new(),
+            _ => serde_json::to_vec(body).map_err(broken)?,
+        };
+        let answer = self.send_raw(method, path, bytes).await?;
+        serde_json::from_slice(&answer).map_err(broken)
+    }
+
+    async fn send_raw(&self, method: Method, path: &str, body: Vec<u8>) -> Result<Vec<u8>> {
+        let failed = |message: String| OperatorError { status: 0, message };
+        let text = format!("http://{}{path}", self.address);
+        let url = Url::parse(&text).map_err(|e| failed(e.to_string()))?;
+        let mut request = Request::new(method, url);
+        request.insert_header("authorization", format!("Bearer {}", self.key));
+        if method != Method::Get {
+            request.set_body(body);
+        }
+        let client = Client::new(ClientSettings::default());
+        let sent = client
+            .send(self.address, request, TIMEOUT, MAX_ANSWER)
+            .await
+            .map_err(|e| failed(e.to_string()))?;
+        match sent.status() {
+            StatusCode::Ok => Ok(sent.body),
+            status => Err(OperatorError {
+                status: status as u16,
+                message: String::from_utf8_lossy(&sent.body).into_owned(),
+            }),
+        }
+    }
+}
+
+/// Sums the samples of a metric whose labels contain `label`.
+pub fn sum_metric(text: &str, name: &str, label: &str) -> f64 {
+    let full = format!("rosemaryfork_{name}");
+    let is_sample = |line: &&str| {
+        let series = line.split(' ').next().unwrap_or("");
+        let base = series.split('{').next().unwrap_or("");
+        base == full && series.contains(label)
+    };
+    text.lines()
+        .filter(is_sample)
+        .filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
+        .sum()
+}
--- /dev/null
+++ b/crates/standin/src/proxy.rs
@@ -0,0 +1,198 @@
+//! Fault-injecting TCP proxy.
+//!
+//! Forwards connections to a target. `PUT /faults` on its control address changes what happens to
+//! bytes from then on, by direction.
+
+use async_std::io;
+use async_std::net::{Shutdown, TcpListener, TcpStream};
+use async_std::task;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use http_types::{Request, Response, StatusCode};
+use rf_base::Millis;
+use rf_transport::{ServerSettings, serve};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+
+/// Time between two looks at whether a silent connection may go on.
+const STEP: Millis = Millis(10);
+
+/// What happens to the bytes of one direction.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields, rename_all = "camelCase")]
+pub struct Direction {
+    /// Delay of each piece.
+    pub delay: Millis,
+    /// Whether bytes are swallowed, with the connection left open.
+    pub is_silent: bool,
+    /// Whether the connection is cut at the next bytes.
+    pub is_cut: bool,
+}
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields, rename_all = "camelCase")]
+pub struct ProxyFaults {
+    /// Towards the target.
+    pub there: Direction,
+    /// Back from the target.
+    pub back: Direction,
+    /// Whether new connections are refused.
+    pub refuses: bool,
+    /// Whether the faults concern only connections that exist already.
+    pub spares_new: bool,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    faults: ProxyFaults,
+    generation: u64,
+}
+
+/// The proxy; cheap to clone.
+#[derive(Clone, Debug, Default)]
+pub struct Proxy {
+    state: Arc<Mutex<State>>,
+}
+
+impl Proxy {
+    /// Forwards from `listen` to `target` until the task ends.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system where an address cannot be listened on.
+    pub async fn run(
+        self,
+        listen: SocketAddr,
+        target: SocketAddr,
+        control: SocketAddr,
+    ) -> std::io::Result<()> {
+        let listener = TcpListener::bind(listen).await?;
+        let control = TcpListener::bind(control).await?;
+        task::spawn(self.clone().serve_control(control));
+        self.forward(listener, target).await;
+        Ok(())
+    }
+
+    /// Forwards connections of `listener` to `target` until the task ends.
+    pub async fn forward(self, listener: TcpListener, target: SocketAddr) {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                continue;
+            };
+            let generation = self.generation();
+            if self.faults().refuses {
+                stream.shutdown(Shutdown::Both).ok();
+                continue;
+            }
+            task::spawn(self.clone().connect(stream, target, generation));
+        }
+    }
+
+    /// Changes what goes wrong.
+    pub fn set_faults(&self, faults: ProxyFaults) {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.faults = faults;
+        state.generation += 1;
+    }
+
+    async fn serve_control(self, listener: TcpListener) {
+        let handler = move |mut request: Request| {
+            let proxy = self.clone();
+            async move {
+                let text = request.body_string().await.unwrap_or_default();
+                let status = match rf_config::from_json(&text) {
+                    Ok(faults) => {
+                        proxy.set_faults(faults);
+                        StatusCode::Ok
+                    }
+                    Err(_) => StatusCode::BadRequest,
+                };
+                Ok(Response::new(status))
+            }
+        };
+        serve(listener, ServerSettings::default(), handler).await;
+    }
+
+    async fn connect(self, near: TcpStream, target: SocketAddr, generation: u64) {
+        let Ok(far) = TcpStream::connect(target).await else {
+            near.shutdown(Shutdown::Both).ok();
+            return;
+        };
+        near.set_nodelay(true).ok();
+        far.set_nodelay(true).ok();
+        let there = self
+            .clone()
+            .pump(near.clone(), far.clone(), generation, |f| f.there);
+        let back = self.pump(far, near, generation, |f| f.back);
+        task::spawn(there);
+        back.await;
+    }
+
+    async fn pump(
+        self,
+        mut from: TcpStream,
+        mut to: TcpStream,
+        generation: u64,
+        direction: fn(&ProxyFaults) -> Direction,
+    ) {
+        let mut chunk = vec![0; 16 * 1024];
+        loop {
+            let n = match from.read(&mut chunk).await {
+                Ok(0) | Err(_) => break,
+                Ok(n) => n,
+            };
+            if self
+                .pass(&mut to, &chunk[..n], generation, direction)
+                .await
+                .is_err()
+            {
+                break;
+            }
+        }
+        from.shutdown(Shutdown::Both).ok();
+        to.shutdown(Shutdown::Both).ok();
+    }
+
+    async fn pass(
+        &self,
+        to: &mut TcpStream,
+        bytes: &[u8],
+        generation: u64,
+        direction: fn(&ProxyFaults) -> Direction,
+    ) -> io::Result<()> {
+        let rules = self.rules(generation, direction);
+        if rules.is_cut {
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
+        if rules.delay > Millis::ZERO {
+            task::sleep(rules.delay.duration()).await;
+        }
+        if rules.is_silent {
+            // The bytes are lost; the connection stays silent as long as the fault lasts.
+            while self.rules(generation, direction).is_silent {
+                task::sleep(STEP.duration()).await;
+            }
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
+        to.write_all(bytes).await
+    }
+
+    fn rules(&self, generation: u64, direction: fn(&ProxyFaults) -> Direction) -> Direction {
+        let faults = self.faults();
+        match faults.spares_new && generation == self.generation() {
+            true => Direction::default(),
+            false => direction(&faults),
+        }
+    }
+
+    fn faults(&self) -> ProxyFaults {
+        let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.faults
+    }
+
+    fn generation(&self) -> u64 {
+        let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.generation
+    }
+}
--- /dev/null
+++ b/crates/standin/src/quickstart.rs
@@ -0,0 +1,227 @@
+//! The main job, end to end, on stand-ins.
+//!
+//! Starts everything, moves traffic to a new version while callers call, retires an old backend
+//! server, and checks the promises against what really ran.
+
+use crate::cluster::{Cluster, ClusterError, InstanceSpec, PREFIX, one_service};
+use crate::load::{Load, LoadOptions, Report};
+use crate::operator::{Operator, OperatorError};
+use crate::server::Behavior;
+use async_std::task;
+use http_types::Method;
+use rf_base::{Clock, Counter, Millis, MoveId};
+use rf_config::settings::Control;
+use rf_config::{Intent, MoveState, Outcome, Settings};
+use snafu::{ResultExt, Snafu};
+
+/// Time that the shift gets.
+const SHIFT_TIME: Millis = Millis::from_secs(24);
+/// Time that the retirement gets.
+const RETIRE_TIME: Millis = Millis::from_secs(15);
+/// Time between two looks at a move.
+const POLL: Millis = Millis(100);
+/// Calls a second.
+const RATE: u64 = 200;
+
+/// Error of the quickstart.
+#[derive(Debug, Snafu)]
+pub enum QuickstartError {
+    /// A process did not do its part.
+    #[snafu(display("{source}"))]
+    Cluster {
+        /// What happened.
+        source: ClusterError,
+    },
+    /// An operator's request was refused.
+    #[snafu(display("{source}"))]
+    Operator {
+        /// What happened.
+        source: OperatorError,
+    },
+    /// A promise was broken.
+    #[snafu(display("broken promises:\n{}", promises.join("\n")))]
+    Broken {
+        /// Which ones.
+        promises: Vec<String>,
+    },
+}
+
+/// Result of the quickstart.
+pub type Result<T> = std::result::Result<T, QuickstartError>;
+
+/// Returns settings with short times, for small clusters on one machine.
+pub fn quick_settings() -> Settings {
+    Settings {
+        control: Control {
+            heartbeat: Millis(300),
+            spread: Millis(1500),
+            clock_error: Millis(200),
+            platform_timeout: Millis(1000),
+            lease: Millis(3000),
+            watch: Millis(5000),
+            poll: Millis(10_000),
+            ..Control::default()
+        },
+        ..Settings::default()
+    }
+}
+
+/// Runs the main job and prints what happens.
+///
+/// # Errors
+///
+/// Returns a [`QuickstartError`] where something did not work or a promise was broken.
+pub async fn run() -> Result<()> {
+    let clock = Clock::system();
+    let mut cluster = Cluster::start(quick_settings())
+        .await
+        .context(ClusterSnafu)?;
+    start_instances(&mut cluster).await?;
+    let operator = cluster.instances[0].operator();
+    let document = one_service(&[("v1", 100), ("v2", 0)]);
+    let start = clock.now();
+    let accepted = operator.apply(&document).await.context(OperatorSnafu)?;
+    cluster
+        .wait_in_force(accepted.counter)
+        .await
+        .context(ClusterSnafu)?;
+    let took = clock.now().since(start);
+    println!(
+        "configuration {} in force on all daemons after {took}",
+        accepted.counter
+    );
+
+    let load = start_load(&cluster);
+    let shift = Intent::Shift {
+        service: "payments".into(),
+        version: "v2".into(),
+        share: 100,
+        by: clock.now() + SHIFT_TIME,
+    };
+    conduct(&operator, &shift, &clock, &load).await?;
+    let retire = Intent::Retire {
+        instance: cluster.instances[0].id(),
+        by: clock.now() + RETIRE_TIME,
+    };
+    conduct(&operator, &retire, &clock, &load).await?;
+    finish(&cluster, load).await
+}
+
+async fn start_instances(cluster: &mut Cluster) -> Result<()> {
+    for (i, version) in ["v1", "v1", "v2", "v2"].into_iter().enumerate() {
+        let spec = InstanceSpec {
+            name: format!("payments-{}", i + 1),
+            zone: format!("zone-{}", i % 2 + 1),
+            version: version.to_owned(),
+            behavior: Behavior {
+                latency: Millis(2),
+                ..Behavior::default()
+            },
+            ..InstanceSpec::default()
+        };
+        println!(
+            "starting {} in {}: backend server {version} and its daemon",
+            spec.name, spec.zone
+        );
+        cluster.add(spec).context(ClusterSnafu)?;
+    }
+    cluster
+        .wait_in_force(Counter(0))
+        .await
+        .context(ClusterSnafu)?;
+    cluster.wait_servers(4).await.context(ClusterSnafu)
+}
+
+fn start_load(cluster: &Cluster) -> Load {
+    Load::start(LoadOptions {
+        targets: cluster.instances.iter().map(|i| i.callers()).collect(),
+        path: format!("{PREFIX}/deposit"),
+        method: Method::Post,
+        rate: RATE,
+        workers: 16,
+        ..LoadOptions::default()
+    })
+}
+
+/// States an intent, shows and confirms its plan, and follows the move to its end.
+async fn conduct(operator: &Operator, intent: &Intent, clock: &Clock, load: &Load) -> Result<()> {
+    let plan = operator.plan(intent).await.context(OperatorSnafu)?;
+    println!("plan {}: {}", plan.id, plan.intent);
+    for (i, step) in plan.steps.iter().enumerate() {
+        let percent = f64::from(step.progress) / 10.0;
+        let wait = step.at.since(clock.now());
+        println!(
+            "  step {}: {percent}% of the way, in {wait} or later",
+            i + 1
+        );
+    }
+    let left = plan.deadline.since(clock.now());
+    println!("  taken back in {left} unless done by then");
+    let confirmed = operator.confirm(&plan).await.context(OperatorSnafu)?;
+    println!("confirmed: {}", confirmed.confirmed);
+    let outcome = follow(operator, confirmed.confirmed, clock, load).await?;
+    if outcome != Outcome::Done {
+        let promises = vec![format!("{intent}: {outcome}")];
+        return Err(QuickstartError::Broken { promises });
+    }
+    if clock.now() > plan.deadline {
+        let promises = vec![format!("{intent}: ended after its deadline")];
+        return Err(QuickstartError::Broken { promises });
+    }
+    Ok(())
+}
+
+async fn follow(operator: &Operator, id: MoveId, clock: &Clock, load: &Load) -> Result<Outcome> {
+    let start = clock.now();
+    let mut last = String::new();
+    loop {
+        let m = operator.find_move(id).await.context(OperatorSnafu)?;
+        if m.summary != last {
+            let age = clock.now().since(start);
+            println!("  {age}: {} ({} calls so far)", m.summary, load.ended());
+            last = m.summary;
+        }
+        if let MoveState::Ended { outcome, .. } = m.state {
+            return Ok(outcome);
+        }
+        task::sleep(POLL.duration()).await;
+    }
+}
+
+async fn finish(cluster: &Cluster, load: Load) -> Result<()> {
+    let report = load.stop().await;
+    let mut promises = report.find_broken_promises(&cluster.all_runs().await);
+    print_report(&report);
+    let status = cluster.instances[1].operator().status().await;
+    let status = status.context(OperatorSnafu)?;
+    println!(
+        "configuration {} in force on {} of {} daemons",
+        status.counter, status.in_force, status.reachable
+    );
+    if report.figures().ok == 0 {
+        promises.push("no call was answered".to_owned());
+    }
+    match promises.is_empty() {
+        true => {
+            println!("done: every promise held");
+            Ok(())
+        }
+        false => Err(QuickstartError::Broken { promises }),
+    }
+}
+
+fn print_report(report: &Report) {
+    let figures = report.figures();
+    println!("calls sent: {}, answered: {}", figures.calls, figures.ok);
+    for (verdict, n) in &figures.verdicts {
+        println!("  told {verdict}: {n}");
+    }
+    for (version, n) in &figures.versions {
+        let percent = 100.0 * *n as f64 / figures.calls.max(1) as f64;
+        println!("  answered by {version}: {n} ({percent:.0}%)");
+    }
+    println!(
+        "latency: p50 {} us, p99 {} us",
+        figures.p50_us, figures.p99_us
+    );
+}
--- /dev/null
+++ b/crates/standin/src/server.rs
@@ -0,0 +1,302 @@
+//! Stand-in for a backend server.
+//!
+//! It announces itself to its daemon, runs at most `slots` calls, and counts the runs of each
+//! `x-request-id`. Its behaviour is set at the start and changed by `PUT /_behavior`;
+//! `GET /_runs` returns the counts.
+
+use crate::operator::Operator;
+use async_std::io;
+use async_std::net::TcpListener;
+use async_std::task;
+use futures_lite::{AsyncBufRead, AsyncRead};
+use http_types::{Body, Method, Request, Response, StatusCode};
+use rf_base::{Millis, ServiceName, VersionName};
+use rf_daemon::control::event::Announcement;
+use rf_transport::{Client, ServerSettings, serve};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll};
+
+/// Time to live of an announcement.
+const TTL: Millis = Millis(5000);
+/// Time between two announcements.
+const ANNOUNCE_EVERY: Millis = Millis(1000);
+/// Pause after a failed announcement.
+const ANNOUNCE_RETRY: Millis = Millis(100);
+/// Longest answer of a call further down a chain.
+const CHAIN_BYTES: usize = 1024 * 1024;
+/// Longest wait for a call further down a chain.
+const CHAIN_TIMEOUT: Millis = Millis(10_000);
+
+/// How the stand-in answers.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields, rename_all = "camelCase")]
+pub struct Behavior {
+    /// Time that a call takes.
+    pub latency: Millis,
+    /// Share of calls that fail with status 500, in percent.
+    pub fail_percent: u32,
+    /// Path prefix to which failures are limited; all paths where empty.
+    pub fail_prefix: String,
+    /// Path on which the process ends.
+    pub crash_path: String,
+    /// Added to the latency for each call that is running.
+    pub load_latency: Millis,
+}
+
+/// Settings of the stand-in.
+#[derive(Clone, Debug)]
+pub struct ServerOptions {
+    /// Where to listen.
+    pub address: SocketAddr,
+    /// Service it claims to serve.
+    pub service: String,
+    /// Version it claims to run.
+    pub version: String,
+    /// Calls it runs at a time.
+    pub slots: u32,
+    /// Operators' port of its daemon.
+    pub operator: Operator,
+    /// Callers' port of its daemon, for chains of calls.
+    pub callers: SocketAddr,
+    /// How it answers.
+    pub behavior: Behavior,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    behavior: Behavior,
+    runs: BTreeMap<String, u32>,
+    total: u64,
+}
+
+/// The stand-in.
+#[derive(Debug)]
+pub struct Server {
+    options: ServerOptions,
+    state: Mutex<State>,
+    running: AtomicU32,
+    most: AtomicU32,
+    client: Client,
+}
+
+/// What `GET /_runs` returns.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Runs {
+    /// Runs by request id.
+    pub runs: BTreeMap<String, u32>,
+    /// All runs.
+    pub total: u64,
+    /// Most calls that ran at a time.
+    pub most: u32,
+}
+
+impl Server {
+    /// Makes the stand-in.
+    pub fn new(options: ServerOptions) -> Server {
+        let state = State {
+            behavior: options.behavior.clone(),
+            ..State::default()
+        };
+        Server {
+            options,
+            state: Mutex::new(state),
+            running: AtomicU32::new(0),
+            most: AtomicU32::new(0),
+            client: Client::default(),
+        }
+    }
+
+    /// Serves calls and announces itself until the task ends.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system where the address cannot be listened on.
+    pub async fn run(self) -> std::io::Result<()> {
+        let listener = TcpListener::bind(self.options.address).await?;
+        let server = Arc::new(self);
+        task::spawn(announce(server.clone()));
+        let handler = move |request| {
+            let server = server.clone();
+            async move { Ok(server.handle(request).await) }
+        };
+        serve(listener, ServerSettings::default(), handler).await;
+        Ok(())
+    }
+
+    async fn handle(&self, mut request: Request) -> Response {
+        match (request.method(), request.url().path()) {
+            (Method::Get, "/_runs") => return self.report(),
+            (Method::Put, "/_behavior") => return self.set_behavior(&mut request).await,
+            _ => {}
+        }
+        let running = self.running.fetch_add(1, Ordering::Relaxed) + 1;
+        self.most.fetch_max(running, Ordering::Relaxed);
+        let response = self.answer(&mut request, running).await;
+        self.running.fetch_sub(1, Ordering::Relaxed);
+        response
+    }
+
+    fn report(&self) -> Response {
+        let state = self.lock();
+        let runs = Runs {
+            runs: state.runs.clone(),
+            total: state.total,
+            most: self.most.load(Ordering::Relaxed),
+        };
+        let mut response = Response::new(StatusCode::Ok);
+        response.set_body(serde_json::to_vec(&runs).unwrap_or_default());
+        response
+    }
+
+    async fn set_behavior(&self, request: &mut Request) -> Response {
+        let text = request.body_string().await.unwrap_or_default();
+        match rf_config::from_json(&text) {
+            Ok(behavior) => {
+                self.lock().behavior = behavior;
+                Response::new(StatusCode::Ok)
+            }
+            Err(_) => Response::new(StatusCode::BadRequest),
+        }
+    }
+
+    async fn answer(&self, request: &mut Request, running: u32) -> Response {
+        let query: BTreeMap<String, String> = request.url().query_pairs().into_owned().collect();
+        let number = |name: &str| query.get(name).and_then(|v| v.parse::<u64>().ok());
+        let path = request.url().path().to_owned();
+        let (behavior, count) = self.count(request);
+        if !behavior.crash_path.is_empty() && path.starts_with(&behavior.crash_path) {
+            std::process::abort();
+        }
+        let body = request.body_bytes().await.unwrap_or_default();
+        let extra = Millis(behavior.load_latency.0 * u64::from(running));
+        let latency = number("ms").map_or(behavior.latency, Millis) + extra;
+        task::sleep(latency.duration()).await;
+        if should_fail(&behavior, &path, count) {
+            return Response::new(StatusCode::InternalServerError);
+        }
+        if let Some(depth) = number("depth").filter(|d| *d > 0) {
+            return self.call_on(request, &path, depth - 1, latency).await;
+        }
+        let mut response = Response::new(StatusCode::Ok);
+        response.insert_header("x-version", self.options.version.as_str());
+        if let Some(id) = request.header("x-request-id") {
+            response.insert_header("x-request-id", id[0].as_str());
+        }
+        match (number("size"), number("cut")) {
+            (Some(size), Some(cut)) => {
+                let body = CutBody { left: cut as usize };
+                response.set_body(Body::from_reader(body, Some(size as usize)));
+            }
+            (Some(size), None) => response.set_body(vec![b'x'; size as usize]),
+            _ => response.set_body(format!("{} {}\n", self.options.version, body.len())),
+        }
+        response
+    }
+
+    fn count(&self, request: &Request) -> (Behavior, u64) {
+        let mut state = self.lock();
+        state.total += 1;
+        if let Some(id) = request.header("x-request-id") {
+            *state.runs.entry(id[0].as_str().to_owned()).or_default() += 1;
+        }
+        (state.behavior.clone(), state.total)
+    }
+
+    /// Calls the next server of a chain through the own daemon, and passes its answer on.
+    async fn call_on(
+        &self,
+        request: &Request,
+        path: &str,
+        depth: u64,
+        latency: Millis,
+    ) -> Response {
+        let callers = self.options.callers;
+        let text = format!("http://{callers}{path}?depth={depth}&ms={}", latency.0);
+        let Ok(url) = http_types::Url::parse(&text) else {
+            return Response::new(StatusCode::BadRequest);
+        };
+        let mut next = Request::new(Method::Get, url);
+        for name in ["traceparent", "rosemaryfork-deadline", "x-request-id"] {
+            if let Some(value) = request.header(name) {
+                next.insert_header(name, value[0].as_str());
+            }
+        }
+        let sent = self.client.send(callers, next, CHAIN_TIMEOUT, CHAIN_BYTES);
+        match sent.await {
+            Ok(sent) => {
+                let mut response = Response::new(sent.status());
+                response.set_body(sent.body);
+                response
+            }
+            Err(_) => Response::new(StatusCode::BadGateway),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Spreads failures evenly over the calls, so that a run repeats.
+fn should_fail(behavior: &Behavior, path: &str, count: u64) -> bool {
+    let percent = u64::from(behavior.fail_percent);
+    path.starts_with(&behavior.fail_prefix) && (count * percent) % 100 < percent
+}
+
+async fn announce(server: Arc<Server>) {
+    let announcement = Announcement {
+        service: ServiceName(server.options.service.clone()),
+        version: VersionName(server.options.version.clone()),
+        address: server.options.address,
+        slots: server.options.slots,
+        ttl: TTL,
+    };
+    loop {
+        let pause = match server.options.operator.announce(&announcement).await {
+            Ok(()) => ANNOUNCE_EVERY,
+            Err(_) => ANNOUNCE_RETRY,
+        };
+        task::sleep(pause.duration()).await;
+    }
+}
+
+/// A body that breaks off.
+#[derive(Debug)]
+struct CutBody {
+    left: usize,
+}
+
+impl AsyncRead for CutBody {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let n = self.left.min(buf.len());
+        if n == 0 && !buf.is_empty() {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+        }
+        buf[..n].fill(b'x');
+        self.left -= n;
+        Poll::Ready(Ok(n))
+    }
+}
+
+impl AsyncBufRead for CutBody {
+    fn poll_fill_buf(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
+        const CHUNK: &[u8] = &[b'x'; 1024];
+        match self.left {
+            0 => Poll::Ready(Err(io::ErrorKind::ConnectionReset.into())),
+            left => Poll::Ready(Ok(&CHUNK[..left.min(CHUNK.len())])),
+        }
+    }
+
+    fn consume(mut self: Pin<&mut Self>, amount: usize) {
+        self.left -= amount;
+    }
+}
--- /dev/null
+++ b/crates/traffic/src/ledger.rs
@@ -0,0 +1,196 @@
+//! The ledger of attempts at one backend server.
+//!
+//! An attempt is unseen, running, done or revoked. A sender whose connection went silent asks on a
+//! new connection. Asking about an unseen attempt revokes it in the same step, so "not run" is a
+//! fact from then on: should the attempt still arrive, it is refused.
+//!
+//! Memory is bounded because every attempt names the time after which it must not start. A record
+//! may be dropped once that time has passed, as [`Ledger::begin`] refuses the attempt anyway; both
+//! are measured by this daemon's clock alone. An answer is kept for a short time only.
+//!
+//! Invariant: an attempt begins at most once, and never after it was reported as not run.
+
+use rf_base::{AttemptId, Incarnation, InstanceId, Millis};
+use rf_protocol::AttemptHeader;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Settings of a [`Ledger`].
+#[derive(Clone, Debug)]
+pub struct LedgerSettings {
+    /// This instance.
+    pub instance: InstanceId,
+    /// This life of the daemon.
+    pub incarnation: Incarnation,
+    /// Most records.
+    pub capacity: usize,
+    /// Time for which an answer is kept.
+    pub keep_answer: Millis,
+}
+
+/// Whether an attempt may run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Begin {
+    /// It is recorded as running.
+    Run,
+    /// Its time has passed.
+    Expired,
+    /// It was revoked, or has been seen before.
+    Revoked,
+    /// It was meant for another daemon or another life of this one.
+    ForeignLife,
+    /// There is no room for its record.
+    Full,
+}
+
+/// What the ledger knows about an attempt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Knowledge<A> {
+    /// It did not run and will not.
+    NotRun,
+    /// It is running.
+    Running,
+    /// It ran; here is its answer.
+    Done(A),
+    /// It ran, or broke off while it ran; its answer is gone.
+    Gone,
+    /// Only an earlier life of this daemon would know.
+    Unknown,
+}
+
+#[derive(Clone, Debug)]
+enum State<A> {
+    Running,
+    Done(Option<A>),
+    Revoked,
+}
+
+#[derive(Clone, Debug)]
+struct Record<A> {
+    state: State<A>,
+    expires: Millis,
+}
+
+/// State of the ledger; `A` is an answer.
+#[derive(Clone, Debug)]
+pub struct Ledger<A> {
+    settings: LedgerSettings,
+    records: BTreeMap<AttemptId, Record<A>>,
+    due: BTreeSet<(Millis, AttemptId)>,
+    running: usize,
+}
+
+impl<A: Clone> Ledger<A> {
+    /// Makes an empty ledger.
+    pub fn new(settings: LedgerSettings) -> Ledger<A> {
+        Ledger {
+            settings,
+            records: BTreeMap::new(),
+            due: BTreeSet::new(),
+            running: 0,
+        }
+    }
+
+    /// Records an attempt as running, if it may run.
+    pub fn begin(&mut self, now: Millis, header: &AttemptHeader) -> Begin {
+        self.prune(now);
+        if !self.is_mine(header) {
+            return Begin::ForeignLife;
+        }
+        if now >= header.expires {
+            return Begin::Expired;
+        }
+        if self.records.contains_key(&header.id) {
+            return Begin::Revoked;
+        }
+        if self.records.len() >= self.settings.capacity {
+            return Begin::Full;
+        }
+        self.insert(header, State::Running);
+        self.running += 1;
+        Begin::Run
+    }
+
+    /// Records the end of an attempt; `None` where there is no answer to keep.
+    pub fn finish(&mut self, now: Millis, id: AttemptId, answer: Option<A>) {
+        let Some(record) = self.records.get_mut(&id) else {
+            debug_assert!(false, "finished attempt {id} is not in the ledger");
+            return;
+        };
+        debug_assert!(matches!(record.state, State::Running));
+        record.state = State::Done(answer);
+        let due = record.expires.max(now + self.settings.keep_answer);
+        record.expires = due;
+        self.running -= 1;
+        self.due.insert((due, id));
+    }
+
+    /// Takes back the record of an attempt that turned out not to have run.
+    pub fn revoke(&mut self, id: AttemptId) {
+        let Some(record) = self.records.get_mut(&id) else {
+            return;
+        };
+        if matches!(record.state, State::Running) {
+            record.state = State::Revoked;
+            self.running -= 1;
+            self.due.insert((record.expires, id));
+        }
+    }
+
+    /// Says what is known about an attempt; an unseen one is revoked in the same step.
+    pub fn ask(&mut self, now: Millis, header: &AttemptHeader) -> Knowledge<A> {
+        self.prune(now);
+        if !self.is_mine(header) {
+            return Knowledge::Unknown;
+        }
+        match self.records.get(&header.id).map(|r| &r.state) {
+            Some(State::Running) => Knowledge::Running,
+            Some(State::Done(Some(answer))) => Knowledge::Done(answer.clone()),
+            Some(State::Done(None)) => Knowledge::Gone,
+            Some(State::Revoked) => Knowledge::NotRun,
+            None if now >= header.expires => Knowledge::Unknown,
+            None if self.records.len() >= self.settings.capacity => Knowledge::Unknown,
+            None => {
+                self.insert(header, State::Revoked);
+                self.due.insert((header.expires, header.id));
+                Knowledge::NotRun
+            }
+        }
+    }
+
+    /// Returns the number of running attempts.
+    pub fn running(&self) -> usize {
+        self.running
+    }
+
+    /// Returns the number of records.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Returns whether there is no record.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    fn is_mine(&self, header: &AttemptHeader) -> bool {
+        header.target == self.settings.instance && header.incarnation == self.settings.incarnation
+    }
+
+    fn insert(&mut self, header: &AttemptHeader, state: State<A>) {
+        let record = Record {
+            state,
+            expires: header.expires,
+        };
+        self.records.insert(header.id, record);
+    }
+
+    fn prune(&mut self, now: Millis) {
+        while let Some((due, id)) = self.due.first().copied() {
+            if due > now {
+                break;
+            }
+            self.due.pop_first();
+            self.records.remove(&id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/traffic/src/lib.rs
@@ -0,0 +1,23 @@
+//! Decisions of the request path, without I/O.
+//!
+//! Where a call goes ([`table`], [`balancer`]), whether it may run now ([`limiter`], [`strikes`]),
+//! what is known about its attempts ([`ledger`], [`keys`]), whether it is tried again ([`retry`]),
+//! and what its caller is told ([`error`]).
+
+pub mod balancer;
+pub mod error;
+pub mod keys;
+pub mod ledger;
+pub mod limiter;
+pub mod retry;
+pub mod strikes;
+pub mod table;
+
+pub use balancer::{Balancer, BalancerSettings, Outcome};
+pub use error::{CallError, RefusalReason};
+pub use keys::{Claim, KeyTable, Settlement};
+pub use ledger::{Begin, Knowledge, Ledger, LedgerSettings};
+pub use limiter::{Admission, Limiter, Ticket};
+pub use retry::{CallProgress, NextAttempt, RetryBudget};
+pub use strikes::{StrikeBook, Suspicion};
+pub use table::{RoutingTable, TableContext};
