--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -20,6 +20,8 @@
     pub region: String,
     /// Addresses to listen on.
     pub listen: Listen,
+    /// Addresses that other daemons are told, where they differ from those listened on.
+    pub advertise: Advertise,
     /// Address of the platform's object API.
     pub platform: SocketAddr,
     /// Peer addresses of some daemons of the mesh, to join through.
@@ -43,6 +45,7 @@
             zone: ZoneName::default(),
             region: "region-1".to_owned(),
             listen: Listen::default(),
+            advertise: Advertise::default(),
             platform: SocketAddr::from(([127, 0, 0, 1], 7100)),
             seeds: Vec::new(),
             log: Log::default(),
@@ -79,6 +82,16 @@
     }
 }
 
+/// Addresses that other daemons are told, where they differ from those listened on.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields, rename_all = "camelCase")]
+pub struct Advertise {
+    /// For attempts.
+    pub relay: Option<SocketAddr>,
+    /// For control messages.
+    pub peers: Option<SocketAddr>,
+}
+
 /// Logging.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields, rename_all = "camelCase")]
--- a/crates/daemon/src/control/judging.rs
+++ b/crates/daemon/src/control/judging.rs
@@ -7,19 +7,16 @@
 use super::event::Action;
 use super::machine::Control;
 use rf_base::{InstanceId, Millis, MoveId};
-use rf_config::{Intent, MeshConfig, Move, MoveState, Policy};
+use rf_config::{Intent, MeshConfig, Move, MoveState};
 use rf_membership::overlay::compute_ranked;
 use rf_protocol::{Brake, Evidence, Request, Side};
 use rf_rollout::conductor::Testimony;
+use rf_rollout::judge::accepted_alarms;
 use rf_rollout::{Change, Conductor, Judge, JudgeSettings, Opinion, View};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Judges of one move besides its conductor.
 const JUDGES: usize = 3;
-/// False alarms per move that the certainty policy accepts.
-const CERTAINTY_ALPHA: f64 = 0.01;
-/// False alarms per move that the deadline policy accepts.
-const DEADLINE_ALPHA: f64 = 0.001;
 /// Time for which a job of the conductor is tried.
 const JOB_TIME: Millis = Millis(10_000);
 
@@ -108,11 +105,9 @@
         let routes = config.routes.iter().filter(|r| r.service == *service);
         let policy = config.services.get(service).map(|s| s.policy);
         let settings = JudgeSettings {
-            alpha: match policy {
-                Some(Policy::Deadline) => DEADLINE_ALPHA,
-                _ => CERTAINTY_ALPHA,
-            },
+            alpha: accepted_alarms(policy.unwrap_or_default()),
             horizon: m.plan.deadline.since(m.confirmed),
+            steps: m.plan.steps.len(),
             routes: routes.count(),
         };
         Case {
@@ -130,6 +125,7 @@
         };
         if *step != self.step {
             self.step = *step;
+            self.judge.enter_step();
             self.step_calls = self.judge.calls();
         }
     }
--- a/crates/daemon/src/control/machine.rs
+++ b/crates/daemon/src/control/machine.rs
@@ -83,8 +83,8 @@
             region: settings.region.clone(),
             incarnation,
             seq: 1,
-            peers: settings.listen.peers,
-            relay: settings.listen.relay,
+            peers: settings.advertise.peers.unwrap_or(settings.listen.peers),
+            relay: settings.advertise.relay.unwrap_or(settings.listen.relay),
             server: None,
             leaving: false,
         };
--- a/crates/rollout/src/judge.rs
+++ b/crates/rollout/src/judge.rs
@@ -1,14 +1,17 @@
 //! The judge: is the new version worse than the old one?
 //!
 //! Each window of evidence updates, per route and over all routes, one test for failures and one
-//! for slow calls. A test is a CUSUM of the log-likelihood ratios of [`crate::odds`], one for each
-//! odds ratio in [`RATIOS`]; its floor at zero forgets a good past, so that a version that turns bad
-//! late is found as fast as one that was bad from the start.
+//! for slow calls, each for every odds ratio in [`RATIOS`]. A test is a Shiryaev-Roberts statistic:
+//! `M <- (M + w) * L`, where `L` is the likelihood ratio of the window from [`crate::odds`] and `w`
+//! the weight given to the version turning bad in just this window. It weighs all starting points
+//! at once, so a version that turns bad late is found about as fast as one that was bad from the
+//! start. Half of the weight lies on the first windows of the steps, because that is when most bad
+//! versions show; the other half is spread evenly.
 //!
-//! False alarms: a CUSUM is the maximum over its starting points of a likelihood ratio with mean 1,
-//! so by Ville's inequality and a union over at most `W` windows it exceeds `h` with probability at
-//! most `W exp(-h)` if both versions are equally good. With `K` CUSUMs the threshold
-//! `ln(W K / alpha)` keeps the rate of false alarms of a whole move below `alpha`.
+//! False alarms: if both versions are equally good, each `L` has mean 1 given the past, so the mean
+//! of `M` never exceeds the sum of the weights, which is 1. The average over all tests is then a
+//! nonnegative supermartingale, up to that sum, and by Ville's inequality it ever reaches
+//! `1 / alpha` with probability at most `alpha`, whatever the number of looks.
 //!
 //! A call is slow if it took at least twice the time below which nine in ten of the old version's
 //! earlier calls stayed; the limit comes from earlier windows only, so it does not depend on the
@@ -18,6 +21,7 @@
 
 use crate::odds::{Margins, compute_log_ratio};
 use rf_base::{InstanceId, Millis};
+use rf_config::Policy;
 use rf_protocol::evidence::{LATENCY_BUCKETS, WINDOW};
 use rf_protocol::{Cell, Evidence, Side};
 use std::collections::{BTreeMap, BTreeSet};
@@ -30,7 +34,18 @@
 /// Calls of the old version that fix the limit of a slow call.
 const LIMIT_CALLS: u64 = 30;
 /// Part of the threshold at which a move holds instead of advancing.
-const SUSPECT_PART: f64 = 0.4;
+const SUSPECT_PART: f64 = 0.02;
+
+/// Statistic below which the calls counted so far are no grounds for a verdict.
+const FORGET: f64 = 0.1;
+
+/// Returns the share of moves of good versions that a policy accepts to be braked.
+pub fn accepted_alarms(policy: Policy) -> f64 {
+    match policy {
+        Policy::Certainty => 0.02,
+        Policy::Deadline => 0.005,
+    }
+}
 
 /// Settings of a [`Judge`].
 #[derive(Clone, Debug)]
@@ -39,6 +54,8 @@
     pub alpha: f64,
     /// Longest time that the move can take.
     pub horizon: Millis,
+    /// Steps of the move.
+    pub steps: usize,
     /// Routes of the service.
     pub routes: usize,
 }
@@ -48,6 +65,7 @@
         JudgeSettings {
             alpha: 0.01,
             horizon: Millis::from_secs(3600),
+            steps: 1,
             routes: 1,
         }
     }
@@ -78,6 +96,12 @@
     Slowness,
 }
 
+impl TestKey {
+    fn new(route: Option<u64>, kind: Kind) -> TestKey {
+        TestKey { route, kind }
+    }
+}
+
 impl fmt::Display for TestKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let kind = match self.kind {
@@ -91,9 +115,10 @@
     }
 }
 
+/// A Shiryaev-Roberts statistic for each odds ratio.
 #[derive(Clone, Debug, Default)]
-struct Cusum {
-    sums: [f64; RATIOS.len()],
+struct Test {
+    statistics: [f64; RATIOS.len()],
     recent: Margins,
 }
 
@@ -116,10 +141,13 @@
 #[derive(Clone, Debug)]
 pub struct Judge {
     threshold: f64,
+    window_weight: f64,
+    step_weight: f64,
+    weight: f64,
     seen: BTreeSet<(u64, InstanceId)>,
     windows: BTreeMap<u64, BTreeMap<u64, Pair>>,
     judged: u64,
-    tests: BTreeMap<TestKey, Cusum>,
+    tests: BTreeMap<TestKey, Test>,
     baseline: BTreeMap<Option<u64>, [u64; LATENCY_BUCKETS]>,
     new_calls: u64,
     old_calls: u64,
@@ -133,7 +161,10 @@
         let windows = (settings.horizon.0 / WINDOW.0).max(1) as f64;
         let tests = ((settings.routes + 1) * 2 * RATIOS.len()) as f64;
         Judge {
-            threshold: (windows * tests / settings.alpha).ln(),
+            threshold: tests / settings.alpha,
+            window_weight: 0.5 / windows,
+            step_weight: 0.5 / settings.steps.max(1) as f64,
+            weight: 0.5 / settings.steps.max(1) as f64,
             seen: BTreeSet::new(),
             windows: BTreeMap::new(),
             judged: 0,
@@ -156,6 +187,11 @@
         self.dropped
     }
 
+    /// Takes in that the move took a step, from which a bad version may show.
+    pub fn enter_step(&mut self) {
+        self.weight += self.step_weight;
+    }
+
     /// Takes in evidence; what is known already changes nothing.
     pub fn absorb(&mut self, evidence: &Evidence) {
         for window in &evidence.windows {
@@ -198,7 +234,7 @@
         if let Some(reason) = &self.verdict {
             return Opinion::Bad(reason.clone());
         }
-        let top = self.tests.values().map(Cusum::top).fold(0.0, f64::max);
+        let top = self.tests.values().map(Test::top).fold(0.0, f64::max);
         match top > self.threshold * SUSPECT_PART {
             true => Opinion::Suspect,
             false => Opinion::Clean,
@@ -206,25 +242,27 @@
     }
 
     fn judge_window(&mut self, routes: &BTreeMap<u64, Pair>) {
+        self.weight += self.window_weight;
+        let weight = std::mem::take(&mut self.weight);
         let mut total = Pair::default();
         for (route, pair) in routes {
-            self.judge_pair(Some(*route), pair);
+            self.judge_pair(Some(*route), pair, weight);
             total.old.merge(&pair.old);
             total.new.merge(&pair.new);
         }
-        self.judge_pair(None, &total);
+        self.judge_pair(None, &total, weight);
         self.old_calls += total.old.calls;
         self.new_calls += total.new.calls;
     }
 
-    fn judge_pair(&mut self, route: Option<u64>, pair: &Pair) {
+    fn judge_pair(&mut self, route: Option<u64>, pair: &Pair, weight: f64) {
         let failures = Margins {
             old_calls: pair.old.calls,
             old_bad: pair.old.failures,
             new_calls: pair.new.calls,
             new_bad: pair.new.failures,
         };
-        self.update(route, Kind::Failure, failures);
+        self.update(TestKey::new(route, Kind::Failure), failures, weight);
         let baseline = self.baseline.entry(route).or_default();
         let limit = slow_bucket(baseline);
         for (sum, n) in baseline.iter_mut().zip(pair.old.latency) {
@@ -237,40 +275,33 @@
                 new_calls: pair.new.timed(),
                 new_bad: pair.new.slow(limit),
             };
-            self.update(route, Kind::Slowness, slowness);
+            self.update(TestKey::new(route, Kind::Slowness), slowness, weight);
         }
     }
 
-    fn update(&mut self, route: Option<u64>, kind: Kind, margins: Margins) {
-        let key = TestKey { route, kind };
+    fn update(&mut self, key: TestKey, margins: Margins, weight: f64) {
         let test = self.tests.entry(key).or_default();
-        test.update(&margins);
+        test.update(&margins, weight);
         if test.top() > self.threshold && self.verdict.is_none() {
             self.verdict = Some(format!("{key}: {}", test.describe()));
         }
     }
 }
 
-impl Cusum {
-    fn update(&mut self, margins: &Margins) {
-        if !margins.is_informative() {
-            return;
-        }
-        for (sum, ratio) in self.sums.iter_mut().zip(RATIOS) {
-            *sum = (*sum + compute_log_ratio(margins, ratio)).max(0.0);
+impl Test {
+    fn update(&mut self, margins: &Margins, weight: f64) {
+        for (statistic, ratio) in self.statistics.iter_mut().zip(RATIOS) {
+            let likelihood = compute_log_ratio(margins, ratio).exp();
+            *statistic = (*statistic + weight) * likelihood;
         }
-        if self.top() == 0.0 {
+        self.recent.merge(margins);
+        if self.top() < FORGET {
             self.recent = Margins::default();
-            return;
         }
-        self.recent.old_calls += margins.old_calls;
-        self.recent.old_bad += margins.old_bad;
-        self.recent.new_calls += margins.new_calls;
-        self.recent.new_bad += margins.new_bad;
     }
 
     fn top(&self) -> f64 {
-        self.sums.iter().copied().fold(0.0, f64::max)
+        self.statistics.iter().copied().fold(0.0, f64::max)
     }
 
     fn describe(&self) -> String {
--- a/crates/rollout/src/odds.rs
+++ b/crates/rollout/src/odds.rs
@@ -21,6 +21,14 @@
 }
 
 impl Margins {
+    /// Adds the counts of another window.
+    pub fn merge(&mut self, other: &Margins) {
+        self.old_calls += other.old_calls;
+        self.old_bad += other.old_bad;
+        self.new_calls += other.new_calls;
+        self.new_bad += other.new_bad;
+    }
+
     /// Returns whether the window says anything about the odds.
     pub fn is_informative(&self) -> bool {
         let bad = self.old_bad + self.new_bad;
--- a/crates/rollout/src/plan.rs
+++ b/crates/rollout/src/plan.rs
@@ -202,17 +202,21 @@
     max_step: Millis,
     /// Watch after the last step, in steps.
     watch_steps: u64,
+    /// Time left between the earliest and the latest "done", in steps.
+    spare_steps: u64,
 }
 
 const CERTAINTY: Schedule = Schedule {
     progress: &[50, 200, 500, 800],
     max_step: Millis::from_secs(600),
     watch_steps: 2,
+    spare_steps: 1,
 };
 const DEADLINE: Schedule = Schedule {
-    progress: &[50, 300, 900],
+    progress: &[50, 300, 800],
     max_step: Millis::from_secs(60),
     watch_steps: 1,
+    spare_steps: 4,
 };
 
 impl Schedule {
@@ -228,9 +232,10 @@
         self.progress.len() as u64 + self.watch_steps
     }
 
-    /// Parts of the time before the latest "done": the last one is left to retries of its record.
+    /// Steps up to the latest "done"; the spare ones are left to retries of its record and, under
+    /// the deadline policy, make the move end early.
     fn parts(&self) -> u64 {
-        self.total_steps() + 1
+        self.total_steps() + self.spare_steps
     }
 }
 
--- /dev/null
+++ b/crates/rosemaryfork/tests/calls.rs
@@ -0,0 +1,430 @@
+//! The request path under failure, with real processes.
+
+mod common;
+
+use async_std::task;
+use common::{call, call_with, spec, start, start_simple, verdict};
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use http_types::Method;
+use rf_base::{Millis, Verdict};
+use rf_standin::cluster::{Cluster, InstanceSpec, PREFIX, one_service};
+use rf_standin::load::{Load, LoadOptions};
+use rf_standin::proxy::{Direction, Proxy, ProxyFaults};
+use rf_standin::server::Behavior;
+use std::net::SocketAddr;
+
+/// Starts a cluster of a daemon without a backend server, and one whose relay port is reached
+/// through a fault-injecting proxy.
+async fn start_behind_proxy() -> (Cluster, Proxy) {
+    let mut cluster = Cluster::start(rf_standin::quickstart::quick_settings())
+        .await
+        .expect("cluster");
+    let front = InstanceSpec {
+        service: String::new(),
+        ..spec(0, "v1")
+    };
+    cluster.add(front).expect("front");
+    let outside = cluster.address_of(1, 7012);
+    let inside = cluster.address_of(1, 7002);
+    cluster
+        .add(InstanceSpec {
+            relay: Some(outside),
+            ..spec(1, "v1")
+        })
+        .expect("back");
+    let proxy = Proxy::default();
+    let listener = async_std::net::TcpListener::bind(outside)
+        .await
+        .expect("proxy address");
+    task::spawn(proxy.clone().forward(listener, inside));
+    common::settle(&cluster, &one_service(&[("v1", 100)])).await;
+    (cluster, proxy)
+}
+
+fn silent() -> Direction {
+    Direction {
+        is_silent: true,
+        ..Direction::default()
+    }
+}
+
+fn cut() -> Direction {
+    Direction {
+        is_cut: true,
+        ..Direction::default()
+    }
+}
+
+async fn runs_of(cluster: &Cluster, id: &str) -> u32 {
+    cluster.all_runs().await.get(id).copied().unwrap_or(0)
+}
+
+#[test]
+fn an_answer_lost_after_the_run_is_recovered() {
+    task::block_on(async {
+        let (cluster, proxy) = start_behind_proxy().await;
+        let front = cluster.instances[0].callers();
+        // The first call makes the connection that is cut on its way back.
+        assert!(call(front, Method::Post, "/x", "first").await.is_some());
+        proxy.set_faults(ProxyFaults {
+            back: cut(),
+            spares_new: true,
+            ..ProxyFaults::default()
+        });
+        let sent = call(front, Method::Post, "/x", "lost")
+            .await
+            .expect("an answer");
+        assert_eq!(sent.status() as u16, 200);
+        assert_eq!(verdict(&sent), Some(Verdict::Ran));
+        assert_eq!(runs_of(&cluster, "lost").await, 1);
+        let asked = cluster.instances[0].operator();
+        let recovered = asked.metric("ledger_asks_total", "done").await;
+        assert_eq!(recovered, Ok(1.0), "the answer came from the ledger");
+    });
+}
+
+#[test]
+fn a_connection_silent_for_good_costs_no_call() {
+    task::block_on(async {
+        let (cluster, proxy) = start_behind_proxy().await;
+        let front = cluster.instances[0].callers();
+        assert!(call(front, Method::Post, "/x", "first").await.is_some());
+        for (name, there, back) in [
+            ("there", silent(), Direction::default()),
+            ("back", Direction::default(), silent()),
+            ("both", silent(), silent()),
+        ] {
+            proxy.set_faults(ProxyFaults {
+                there,
+                back,
+                spares_new: true,
+                ..ProxyFaults::default()
+            });
+            let sent = call(front, Method::Post, "/x", name)
+                .await
+                .expect("an answer");
+            let runs = runs_of(&cluster, name).await;
+            match verdict(&sent) {
+                Some(Verdict::Ran) => assert_eq!(runs, 1, "{name}"),
+                Some(Verdict::NotRun) => assert_eq!(runs, 0, "{name}"),
+                other => panic!("{name}: told {other:?}"),
+            }
+        }
+        let asked = cluster.instances[0].operator();
+        let answers = asked
+            .metric("ledger_asks_total", "")
+            .await
+            .expect("metrics");
+        assert!(answers >= 3.0, "the ledger was asked {answers} times");
+    });
+}
+
+#[test]
+fn a_silent_network_ends_as_may_have_run_by_the_deadline() {
+    task::block_on(async {
+        let (cluster, proxy) = start_behind_proxy().await;
+        let front = cluster.instances[0].callers();
+        assert!(call(front, Method::Post, "/x", "first").await.is_some());
+        proxy.set_faults(ProxyFaults {
+            there: silent(),
+            back: silent(),
+            ..ProxyFaults::default()
+        });
+        let headers = [("rosemaryfork-deadline", "2000")];
+        let sent = call_with(front, Method::Post, "/x", "gone", &headers, Vec::new())
+            .await
+            .expect("an answer");
+        assert_eq!(sent.status() as u16, 504);
+        assert_eq!(verdict(&sent), Some(Verdict::MayHaveRun));
+    });
+}
+
+#[test]
+fn a_server_that_dies_with_calls_in_flight_costs_only_those() {
+    task::block_on(async {
+        let mut cluster = start_simple(3).await;
+        let load = Load::start(LoadOptions {
+            targets: cluster.instances.iter().map(|i| i.callers()).collect(),
+            path: format!("{PREFIX}/deposit?ms=20"),
+            method: Method::Post,
+            workers: 8,
+            rate: 150,
+            ..LoadOptions::default()
+        });
+        task::sleep(Millis(1000).duration()).await;
+        cluster.signal_server(1, "KILL");
+        task::sleep(Millis(2000).duration()).await;
+        let report = load.stop().await;
+        let figures = report.figures();
+        let lost = figures.verdicts.get("may-have-run").copied().unwrap_or(0);
+        assert!(lost <= 6, "at most the slots of one server, lost {lost}");
+        assert_eq!(figures.crossed, 0);
+        let told_not_run = |r: &&rf_standin::load::CallRecord| r.verdict == Some(Verdict::NotRun);
+        let runs = cluster.all_runs().await;
+        for record in report.records.iter().filter(told_not_run) {
+            assert_eq!(runs.get(&record.id), None, "{} ran", record.id);
+        }
+        assert!(runs.values().all(|n| *n <= 1));
+        assert!(figures.ok + lost >= figures.calls * 99 / 100, "{figures:?}");
+    });
+}
+
+#[test]
+fn a_request_that_crashes_servers_takes_down_two_at_most() {
+    task::block_on(async {
+        let crashing = |i| InstanceSpec {
+            behavior: Behavior {
+                crash_path: format!("{PREFIX}/poison"),
+                ..Behavior::default()
+            },
+            ..spec(i, "v1")
+        };
+        let specs = (0..4).map(crashing).collect();
+        let mut cluster = start(specs, &one_service(&[("v1", 100)])).await;
+        let mut last = None;
+        for i in 0..6 {
+            let target = cluster.instances[i % 4].callers();
+            last = call(target, Method::Post, "/poison", &format!("poison-{i}")).await;
+            // The resend comes after a pause, as a caller's would.
+            task::sleep(Millis(500).duration()).await;
+        }
+        let down = (0..4).filter(|i| cluster.is_server_down(*i)).count();
+        assert!(down <= 2, "{down} servers down");
+        let last = last.expect("an answer");
+        assert_eq!(last.status() as u16, 503);
+        assert_eq!(verdict(&last), Some(Verdict::NotRun));
+        assert!(last.header("retry-after").is_some());
+    });
+}
+
+#[test]
+fn overload_is_refused_early_and_slots_hold() {
+    task::block_on(async {
+        let slow = |i| InstanceSpec {
+            behavior: Behavior {
+                latency: Millis(20),
+                ..Behavior::default()
+            },
+            ..spec(i, "v1")
+        };
+        let cluster = start((0..2).map(slow).collect(), &one_service(&[("v1", 100)])).await;
+        let load = Load::start(LoadOptions {
+            targets: cluster.instances.iter().map(|i| i.callers()).collect(),
+            path: format!("{PREFIX}/deposit"),
+            method: Method::Post,
+            workers: 96,
+            rate: 1200,
+            ..LoadOptions::default()
+        });
+        task::sleep(Millis(3000).duration()).await;
+        let report = load.stop().await;
+        let broken = report.find_broken_promises(&cluster.all_runs().await);
+        assert!(broken.is_empty(), "{broken:?}");
+        for i in 0..2 {
+            let most = cluster.runs(i).await.expect("runs").most;
+            assert!(most <= 6, "{most} calls at a time on 6 slots");
+        }
+        let figures = report.figures();
+        let refused = figures.verdicts.get("not-run").copied().unwrap_or(0);
+        assert!(refused > 0, "twice the capacity must be refused in part");
+        assert_eq!(figures.ok + refused, figures.calls, "{figures:?}");
+    });
+}
+
+#[test]
+fn a_planned_stop_under_load_cuts_no_call() {
+    task::block_on(async {
+        let mut cluster = start_simple(3).await;
+        let targets = [0, 1].map(|i| cluster.instances[i].callers());
+        let load = Load::start(LoadOptions {
+            targets: targets.to_vec(),
+            path: format!("{PREFIX}/deposit?ms=50"),
+            method: Method::Post,
+            workers: 8,
+            rate: 100,
+            ..LoadOptions::default()
+        });
+        task::sleep(Millis(1000).duration()).await;
+        assert!(cluster.stop_daemon(2).await, "the daemon drained in time");
+        task::sleep(Millis(1000).duration()).await;
+        let report = load.stop().await;
+        let broken = report.find_broken_promises(&cluster.all_runs().await);
+        assert!(broken.is_empty(), "{broken:?}");
+        assert_eq!(report.figures().ok, report.figures().calls);
+    });
+}
+
+#[test]
+fn a_paused_server_costs_a_deadline_and_no_double_run() {
+    task::block_on(async {
+        let mut cluster = start_simple(2).await;
+        cluster.signal_server(1, "STOP");
+        let headers = [("rosemaryfork-deadline", "1500")];
+        for i in 0..6 {
+            let target = cluster.instances[i % 2].callers();
+            let id = format!("paused-{i}");
+            let sent = call_with(target, Method::Post, "/x", &id, &headers, Vec::new())
+                .await
+                .expect("an answer");
+            let told = verdict(&sent).expect("a verdict");
+            assert_ne!(told, Verdict::NotRun, "it may run once the server goes on");
+        }
+        cluster.signal_server(1, "CONT");
+        task::sleep(Millis(300).duration()).await;
+        let runs = cluster.all_runs().await;
+        assert!(runs.values().all(|n| *n <= 1), "{runs:?}");
+    });
+}
+
+#[test]
+fn a_key_sent_twice_runs_once_on_any_daemon() {
+    task::block_on(async {
+        let cluster = start_simple(4).await;
+        let key = [("idempotency-key", "deposit-17")];
+        let first = cluster.instances[0].callers();
+        let body = b"100 dollars".to_vec();
+        let sent = call_with(first, Method::Post, "/deposit", "k1", &key, body.clone())
+            .await
+            .expect("an answer");
+        assert_eq!(sent.status() as u16, 200);
+        // Settling the records is not waited for by the first caller.
+        task::sleep(Millis(200).duration()).await;
+        for i in 0..4 {
+            let target = cluster.instances[i].callers();
+            let again = call_with(target, Method::Post, "/deposit", "k2", &key, body.clone())
+                .await
+                .expect("an answer");
+            assert_eq!(again.status() as u16, 200);
+            assert_eq!(
+                again.header("x-request-id"),
+                Some("k1"),
+                "the first one's answer"
+            );
+        }
+        let other = call_with(first, Method::Post, "/deposit", "k3", &key, b"1".to_vec())
+            .await
+            .expect("an answer");
+        assert_eq!(other.status() as u16, 422);
+        let runs = cluster.all_runs().await;
+        assert_eq!(runs.get("k1"), Some(&1));
+        assert_eq!(runs.get("k2"), None);
+        assert_eq!(runs.get("k3"), None);
+    });
+}
+
+#[test]
+fn keys_sent_at_once_run_once() {
+    task::block_on(async {
+        let cluster = start_simple(4).await;
+        let targets: Vec<SocketAddr> = cluster.instances.iter().map(|i| i.callers()).collect();
+        for round in 0..5 {
+            let key = format!("at-once-{round}");
+            let sends = (0..8).map(|i| {
+                let target = targets[i % 4];
+                let key = key.clone();
+                let id = format!("{round}-{i}");
+                task::spawn(async move {
+                    let headers = [("idempotency-key", key.as_str())];
+                    call_with(target, Method::Post, "/d?ms=50", &id, &headers, Vec::new()).await
+                })
+            });
+            for send in sends.collect::<Vec<_>>() {
+                let sent = send.await.expect("an answer");
+                assert!(
+                    [200, 409].contains(&(sent.status() as u16)),
+                    "{}",
+                    sent.status()
+                );
+            }
+            let runs = cluster.all_runs().await;
+            let prefix = format!("{round}-");
+            let ran: u32 = runs
+                .iter()
+                .filter(|(id, _)| id.starts_with(&prefix))
+                .map(|(_, n)| n)
+                .sum();
+            assert!(ran <= 1, "key of round {round} ran {ran} times");
+        }
+    });
+}
+
+#[test]
+fn large_bodies_pass_whole_and_cut_answers_are_errors() {
+    task::block_on(async {
+        let cluster = start_simple(2).await;
+        for target in cluster.instances.iter().map(|i| i.callers()) {
+            for i in 0..4 {
+                let id = format!("large-{i}");
+                let body = vec![b'y'; 3_000_000];
+                let sent = call_with(target, Method::Post, "/?size=5000000", &id, &[], body)
+                    .await
+                    .expect("a whole answer");
+                assert_eq!(sent.body.len(), 5_000_000);
+            }
+            for (size, cut) in [(1000, 10), (5_000_000, 1_000_000)] {
+                let path = format!("/?size={size}&cut={cut}");
+                let sent = call(target, Method::Post, &path, "cut").await;
+                let is_success = sent.is_some_and(|s| s.status() as u16 == 200);
+                assert!(
+                    !is_success,
+                    "an answer cut at {cut} of {size} bytes passed as whole"
+                );
+            }
+        }
+    });
+}
+
+async fn send_raw(target: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = async_std::net::TcpStream::connect(target)
+        .await
+        .expect("a connection");
+    stream.write_all(bytes).await.expect("sent");
+    let mut answer = Vec::new();
+    let reading = stream.read_to_end(&mut answer);
+    async_std::future::timeout(Millis(15_000).duration(), reading)
+        .await
+        .expect("the connection is closed")
+        .ok();
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+#[test]
+fn ambiguous_requests_are_refused_and_do_not_run() {
+    task::block_on(async {
+        let cluster = start_simple(1).await;
+        let target = cluster.instances[0].callers();
+        let head = format!("POST {PREFIX}/x HTTP/1.1\r\nhost: a\r\nx-request-id: raw\r\n");
+        let huge = "a".repeat(100_000);
+        let shapes = [
+            "content-length: 5\r\ncontent-length: 6\r\n\r\nhello!".to_owned(),
+            "content-length: 5\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n".to_owned(),
+            "transfer-encoding: xchunked\r\n\r\n0\r\n\r\n".to_owned(),
+            "transfer-encoding: gzip, chunked\r\n\r\n0\r\n\r\n".to_owned(),
+            "content-length: +5\r\n\r\nhello".to_owned(),
+            "transfer-encoding: chunked\r\n\r\nzz\r\nhello\r\n".to_owned(),
+            format!("x-huge: {huge}\r\n\r\n"),
+        ];
+        for shape in shapes {
+            let answer = send_raw(target, format!("{head}{shape}").as_bytes()).await;
+            let status = answer.get(9..12).unwrap_or("none");
+            let shown = &shape[..shape.len().min(60)];
+            assert!(["400", "431"].contains(&status), "{shown}: {answer}");
+            assert!(
+                answer.contains("rosemaryfork-verdict: not-run"),
+                "{shown}: {answer}"
+            );
+        }
+        assert_eq!(runs_of(&cluster, "raw").await, 0);
+    });
+}
+
+#[test]
+fn a_slow_head_is_ended() {
+    task::block_on(async {
+        let cluster = start_simple(1).await;
+        let target = cluster.instances[0].callers();
+        let answer = send_raw(target, b"GET /pay HTTP/1.1\r\nhost: ").await;
+        assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+        assert!(answer.contains("rosemaryfork-verdict: not-run"), "{answer}");
+    });
+}
--- /dev/null
+++ b/crates/rosemaryfork/tests/common/mod.rs
@@ -0,0 +1,91 @@
+//! Clusters of real processes for the tests.
+
+use http_types::{Method, Request, Url};
+use rf_base::{Counter, Millis, Verdict};
+use rf_rollout::change::Document;
+use rf_standin::cluster::{Cluster, InstanceSpec, PREFIX, one_service};
+use rf_standin::quickstart::quick_settings;
+use rf_standin::server::Behavior;
+use rf_transport::{Client, Sent};
+use std::net::SocketAddr;
+
+/// Longest wait for an answer.
+pub const TIMEOUT: Millis = Millis(20_000);
+/// Longest answer.
+const MAX_BODY: usize = 16 * 1024 * 1024;
+
+/// Describes instance `i` with a backend server of `version`; two zones in turn.
+pub fn spec(i: usize, version: &str) -> InstanceSpec {
+    InstanceSpec {
+        name: format!("payments-{i}"),
+        zone: format!("zone-{}", i % 2 + 1),
+        version: version.to_owned(),
+        behavior: Behavior {
+            latency: Millis(2),
+            ..Behavior::default()
+        },
+        ..InstanceSpec::default()
+    }
+}
+
+/// Starts a cluster, applies `document`, and waits until it is in force and every server is known.
+pub async fn start(specs: Vec<InstanceSpec>, document: &Document) -> Cluster {
+    let mut cluster = Cluster::start(quick_settings()).await.expect("cluster");
+    for spec in specs {
+        cluster.add(spec).expect("instance");
+    }
+    settle(&cluster, document).await;
+    cluster
+}
+
+/// Applies `document` and waits until it is in force and every server is known.
+pub async fn settle(cluster: &Cluster, document: &Document) {
+    cluster.wait_in_force(Counter(0)).await.expect("daemons");
+    let operator = cluster.instances[0].operator();
+    let accepted = operator.apply(document).await.expect("accepted");
+    cluster
+        .wait_in_force(accepted.counter)
+        .await
+        .expect("in force");
+    let servers = cluster.instances.iter().filter(|i| i.server.is_some());
+    cluster
+        .wait_servers(servers.count())
+        .await
+        .expect("servers");
+}
+
+/// Starts a cluster of one version with a backend server for each instance.
+pub async fn start_simple(count: usize) -> Cluster {
+    let specs = (0..count).map(|i| spec(i, "v1")).collect();
+    start(specs, &one_service(&[("v1", 100)])).await
+}
+
+/// One call with its request id.
+pub async fn call(target: SocketAddr, method: Method, path: &str, id: &str) -> Option<Sent> {
+    call_with(target, method, path, id, &[], Vec::new()).await
+}
+
+/// One call with headers and a body.
+pub async fn call_with(
+    target: SocketAddr,
+    method: Method,
+    path: &str,
+    id: &str,
+    headers: &[(&str, &str)],
+    body: Vec<u8>,
+) -> Option<Sent> {
+    let url = Url::parse(&format!("http://{target}{PREFIX}{path}")).expect("valid URL");
+    let mut request = Request::new(method, url);
+    request.insert_header("x-request-id", id);
+    for (name, value) in headers {
+        request.insert_header(*name, *value);
+    }
+    request.set_body(body);
+    let client = Client::default();
+    client.send(target, request, TIMEOUT, MAX_BODY).await.ok()
+}
+
+/// Returns the verdict that a caller was told.
+pub fn verdict(sent: &Sent) -> Option<Verdict> {
+    sent.header("rosemaryfork-verdict")?.parse().ok()
+}
--- a/crates/standin/src/cluster.rs
+++ b/crates/standin/src/cluster.rs
@@ -9,7 +9,7 @@
 use async_std::task;
 use http_types::{Method, Request, StatusCode, Url};
 use rf_base::{Clock, Counter, InstanceId, Millis, ServiceName, VersionName};
-use rf_config::settings::Listen;
+use rf_config::settings::{Advertise, Listen};
 use rf_config::{Route, Service, Settings, VersionSpec};
 use rf_rollout::change::Document;
 use rf_transport::{Client, Sent};
@@ -83,6 +83,8 @@
     pub behavior: Behavior,
     /// Where other daemons are told to send attempts, if not to the daemon itself.
     pub relay: Option<SocketAddr>,
+    /// Where other daemons are told to send control messages, if not to the daemon itself.
+    pub peers: Option<SocketAddr>,
 }
 
 impl Default for InstanceSpec {
@@ -96,6 +98,7 @@
             slots: 6,
             behavior: Behavior::default(),
             relay: None,
+            peers: None,
         }
     }
 }
@@ -282,6 +285,10 @@
                 peers: at(7003),
                 operators: at(7004),
             },
+            advertise: Advertise {
+                relay: spec.relay,
+                peers: spec.peers,
+            },
             platform: self.platform_address(),
             seeds: seeds.collect(),
             fatal_invariants: true,
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod proxy;
 pub mod quickstart;
 pub mod server;
+pub mod simulation;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -32,6 +32,7 @@
 enum Measurement {
     Overhead,
     Overload,
+    Judge,
     Mesh(Vec<usize>),
 }
 
@@ -66,6 +67,10 @@
     let result = match measurement {
         Measurement::Overhead => measure::overhead::run().await,
         Measurement::Overload => measure::overload::run().await,
+        Measurement::Judge => {
+            measure::judge::run_all();
+            Ok(())
+        }
         Measurement::Mesh(sizes) => measure::mesh::run(sizes).await,
     };
     result.map_err(|e| e.to_string())
@@ -168,6 +173,10 @@
         .to_options()
         .descr("Goodput beyond capacity, and attempts in a chain of calls.")
         .command("overload");
+    let judge = bpaf::pure(Measurement::Judge)
+        .to_options()
+        .descr("How well moves are judged, over seeded runs on synthetic evidence.")
+        .command("judge");
     let sizes = bpaf::positional::<usize>("DAEMONS")
         .help("Numbers of daemons to measure with")
         .some("expected at least one number of daemons");
@@ -175,7 +184,7 @@
         .to_options()
         .descr("Cost and speed of the control half by the number of daemons.")
         .command("mesh");
-    let measurement = construct!([overhead, overload, mesh]);
+    let measurement = construct!([overhead, overload, judge, mesh]);
     construct!(Command::Measure(measurement))
         .to_options()
         .descr("Measures with real processes and prints tables.")
--- /dev/null
+++ b/crates/standin/src/measure/judge.rs
@@ -0,0 +1,189 @@
+//! How well moves are judged, over many seeded runs on synthetic evidence.
+
+use super::print_raw;
+use crate::simulation::{Case, Decider, Fault, run};
+use rf_base::Millis;
+use rf_config::{Outcome, Policy};
+use serde::Serialize;
+
+/// Runs of each kind.
+const RUNS: u64 = 200;
+/// Rates of calls, a second over all backend servers.
+const RATES: [f64; 2] = [20.0, 200.0];
+
+#[derive(Debug, Serialize)]
+struct Row {
+    policy: &'static str,
+    decider: &'static str,
+    rate: f64,
+    kind: &'static str,
+    is_good: bool,
+    right: f64,
+    ended_s: f64,
+    exposure: f64,
+    reaction_p50_ms: u64,
+    reaction_p99_ms: u64,
+}
+
+/// A kind of version.
+struct Kind {
+    name: &'static str,
+    is_good: bool,
+    routes: u64,
+    fault: Option<Fault>,
+}
+
+fn kinds() -> Vec<Kind> {
+    let bad = |name, fault| Kind {
+        name,
+        is_good: false,
+        routes: 1,
+        fault: Some(fault),
+    };
+    let failing = |failing| Fault {
+        failing,
+        ..Fault::default()
+    };
+    vec![
+        Kind {
+            name: "good",
+            is_good: true,
+            routes: 3,
+            fault: None,
+        },
+        Kind {
+            name: "good, dependency fails 20 s",
+            is_good: true,
+            routes: 3,
+            fault: Some(Fault {
+                side: None,
+                from: Millis(20_000),
+                until: Millis(40_000),
+                ..failing(0.5)
+            }),
+        },
+        bad("fails 3%", failing(0.03)),
+        bad("fails 10%", failing(0.1)),
+        bad("fails 50%", failing(0.5)),
+        bad(
+            "fails 20% from 70 s on",
+            Fault {
+                from: Millis(70_000),
+                ..failing(0.2)
+            },
+        ),
+        bad(
+            "fails 20% under load",
+            Fault {
+                progress: 450,
+                ..failing(0.2)
+            },
+        ),
+        Kind {
+            routes: 3,
+            ..bad(
+                "fails 30% on one route of 3",
+                Fault {
+                    route: Some(1),
+                    ..failing(0.3)
+                },
+            )
+        },
+        bad(
+            "three times as slow",
+            Fault {
+                slowness: 3.0,
+                ..Fault::default()
+            },
+        ),
+    ]
+}
+
+/// Measures and prints the table.
+pub fn run_all() {
+    let mut rows = Vec::new();
+    for (policy, name) in [
+        (Policy::Certainty, "certainty"),
+        (Policy::Deadline, "deadline"),
+    ] {
+        for rate in RATES {
+            for kind in kinds() {
+                for (decider, decider_name) in [
+                    (Decider::Product, "judge"),
+                    (Decider::Baseline, "threshold 5%"),
+                ] {
+                    let case = Case {
+                        policy,
+                        rate,
+                        routes: kind.routes,
+                        faults: kind.fault.iter().cloned().collect(),
+                        decider,
+                        ..Case::default()
+                    };
+                    rows.push(measure(name, decider_name, &kind, &case));
+                }
+            }
+        }
+    }
+    print_raw("judge", &rows);
+    println!(
+        "| policy | calls/s | version | decided by | right | ended after s | share of calls on the bad version | reaction p50 / p99 s |"
+    );
+    println!("|---|---|---|---|---|---|---|---|");
+    for r in &rows {
+        let exposure = match r.is_good {
+            true => "-".to_owned(),
+            false => format!("{:.1}%", r.exposure * 100.0),
+        };
+        let reaction = match r.is_good {
+            true => "-".to_owned(),
+            false => format!(
+                "{:.1} / {:.1}",
+                r.reaction_p50_ms as f64 / 1000.0,
+                r.reaction_p99_ms as f64 / 1000.0
+            ),
+        };
+        println!(
+            "| {} | {} | {} | {} | {:.1}% | {:.0} | {exposure} | {reaction} |",
+            r.policy,
+            r.rate,
+            r.kind,
+            r.decider,
+            r.right * 100.0,
+            r.ended_s
+        );
+    }
+}
+
+fn measure(policy: &'static str, decider: &'static str, kind: &Kind, case: &Case) -> Row {
+    let right = match kind.is_good {
+        true => Outcome::Done,
+        false => Outcome::TakenBack,
+    };
+    let mut reactions = Vec::new();
+    let (mut hits, mut ended, mut exposure) = (0u64, 0.0, 0.0);
+    for seed in 1..=RUNS {
+        let result = run(&Case {
+            seed,
+            ..case.clone()
+        });
+        hits += u64::from(result.outcome == right);
+        ended += result.ended.0 as f64 / 1000.0;
+        exposure += result.exposure;
+        reactions.push(result.reaction.0);
+    }
+    reactions.sort_unstable();
+    let runs = RUNS as f64;
+    Row {
+        policy,
+        decider,
+        rate: case.rate,
+        kind: kind.name,
+        is_good: kind.is_good,
+        right: hits as f64 / runs,
+        ended_s: ended / runs,
+        exposure: exposure / runs,
+        reaction_p50_ms: reactions[reactions.len() / 2],
+        reaction_p99_ms: reactions[reactions.len() * 99 / 100],
+    }
+}
--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -1,5 +1,6 @@
 //! Measurements with real processes, each printed as a table and as JSON.
 
+pub mod judge;
 pub mod mesh;
 pub mod overhead;
 pub mod overload;
--- /dev/null
+++ b/crates/standin/src/simulation.rs
@@ -0,0 +1,501 @@
+//! A move on synthetic evidence and a virtual clock.
+//!
+//! Runs the real planner, judge, conductor and changes against a modelled service: calls arrive at
+//! a steady rate, divide between the versions by the progress of the move, and fail or slow down as
+//! the case says. The platform may have outages. Nothing here sleeps or does I/O, so a seed repeats
+//! a run exactly.
+
+use rf_base::{
+    Epoch, InstanceId, Millis, MoveId, OperationId, SeededRandom, ServiceName, VersionName,
+};
+use rf_config::weights::{WEIGHT_UNIT, compute_effective};
+use rf_config::{
+    Intent, MeshConfig, MoveState, Outcome, Plan, Policy, Route, Service, VersionSpec,
+};
+use rf_protocol::evidence::{WINDOW, latency_bucket};
+use rf_protocol::{Brake, Cell, Evidence, Side, Window};
+use rf_rollout::conductor::Testimony;
+use rf_rollout::judge::accepted_alarms;
+use rf_rollout::plan::{PlanContext, Servers};
+use rf_rollout::{
+    Change, Conductor, Judge, JudgeSettings, Opinion, PlanSettings, ServerView, View, apply_change,
+    compute_plan,
+};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Time from the end of a window to the arrival of its evidence.
+const ARRIVAL: Millis = Millis(100);
+/// Share of failures at which the baseline takes a move back.
+const BASELINE_LIMIT: f64 = 0.05;
+/// Calls of the new version in one look of the baseline.
+const BASELINE_CALLS: u64 = 20;
+/// Windows of one look of the baseline.
+const BASELINE_WINDOWS: usize = 10;
+
+/// Who decides.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decider {
+    /// The product's judge and conductor.
+    Product,
+    /// Fixed steps and a threshold on the new version's share of failures.
+    Baseline,
+}
+
+/// What is wrong with a version, from a time on.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fault {
+    /// Version; both where absent, as with a dependency that fails.
+    pub side: Option<Side>,
+    /// Time since the confirmation from which it is wrong.
+    pub from: Millis,
+    /// Time until which it is wrong.
+    pub until: Millis,
+    /// Route that is concerned; all where absent.
+    pub route: Option<u64>,
+    /// Progress from which it shows, as with a version that is bad under load.
+    pub progress: u32,
+    /// Share of calls that fail.
+    pub failing: f64,
+    /// Factor on the latency.
+    pub slowness: f64,
+}
+
+impl Default for Fault {
+    fn default() -> Self {
+        Fault {
+            side: Some(Side::New),
+            from: Millis::ZERO,
+            until: Millis(u64::MAX),
+            route: None,
+            progress: 0,
+            failing: 0.0,
+            slowness: 1.0,
+        }
+    }
+}
+
+/// A move to simulate.
+#[derive(Clone, Debug)]
+pub struct Case {
+    /// Policy of the service.
+    pub policy: Policy,
+    /// Time that the move gets.
+    pub by: Millis,
+    /// Calls a second, over all routes.
+    pub rate: f64,
+    /// Routes of the service.
+    pub routes: u64,
+    /// Share of calls that fail on either version anyway.
+    pub background: f64,
+    /// Usual latency.
+    pub latency: Millis,
+    /// What goes wrong.
+    pub faults: Vec<Fault>,
+    /// Outages of the platform, since the confirmation.
+    pub outages: Vec<(Millis, Millis)>,
+    /// Seed.
+    pub seed: u64,
+    /// Who decides.
+    pub decider: Decider,
+}
+
+impl Default for Case {
+    fn default() -> Self {
+        Case {
+            policy: Policy::Certainty,
+            by: Millis::from_secs(120),
+            rate: 100.0,
+            routes: 1,
+            background: 0.005,
+            latency: Millis(10),
+            faults: Vec::new(),
+            outages: Vec::new(),
+            seed: 1,
+            decider: Decider::Product,
+        }
+    }
+}
+
+/// How a simulated move went.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Run {
+    /// Decisions with their times and reasons.
+    pub log: Vec<String>,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Time from the confirmation to the record of the end.
+    pub ended: Millis,
+    /// Time from the confirmation to the last call on the new version, if it was taken back.
+    pub stopped: Millis,
+    /// Share of all calls that the new version received until then.
+    pub exposure: f64,
+    /// Time from the first bad call of the new version to its last call.
+    pub reaction: Millis,
+}
+
+const START: Millis = Millis(1_000_000_000);
+
+/// State of a simulated move.
+struct Simulation<'a> {
+    case: &'a Case,
+    random: SeededRandom,
+    config: MeshConfig,
+    judge: Judge,
+    brakes: BTreeMap<MoveId, Brake>,
+    id: MoveId,
+    step: usize,
+    step_calls: (u64, u64),
+    opinion: Opinion,
+    log: Vec<String>,
+    calls: (u64, u64),
+    last_new: Millis,
+    first_bad: Option<Millis>,
+    looks: Vec<(u64, u64)>,
+    operations: u64,
+}
+
+/// Simulates `case`.
+///
+/// # Panics
+///
+/// Panics where the intent is refused, which is a mistake in the case.
+pub fn run(case: &Case) -> Run {
+    let config = make_config(case);
+    let plan = make_plan(case, &config);
+    let id = MoveId(plan.id.0);
+    let settings = JudgeSettings {
+        alpha: accepted_alarms(case.policy),
+        horizon: case.by,
+        steps: plan.steps.len(),
+        routes: case.routes as usize,
+    };
+    let mut simulation = Simulation {
+        case,
+        random: SeededRandom::new(case.seed),
+        config,
+        judge: Judge::new(&settings),
+        brakes: BTreeMap::new(),
+        id,
+        step: 0,
+        step_calls: (0, 0),
+        opinion: Opinion::Clean,
+        log: Vec::new(),
+        calls: (0, 0),
+        last_new: START,
+        first_bad: None,
+        looks: Vec::new(),
+        operations: 0,
+    };
+    simulation.apply(START, &Change::Confirm(Box::new(plan)));
+    simulation.run()
+}
+
+fn service_name() -> ServiceName {
+    "payments".into()
+}
+
+fn make_config(case: &Case) -> MeshConfig {
+    let mut service = Service {
+        policy: case.policy,
+        ..Service::default()
+    };
+    for (version, weight) in [("v1", 100), ("v2", 0)] {
+        service
+            .versions
+            .insert(version.into(), VersionSpec { weight });
+    }
+    let route = |i: u64| Route {
+        host: "*".to_owned(),
+        prefix: format!("/{i}"),
+        service: service_name(),
+        ..Route::default()
+    };
+    MeshConfig {
+        services: BTreeMap::from([(service_name(), service)]),
+        routes: (0..case.routes).map(route).collect(),
+        ..MeshConfig::default()
+    }
+}
+
+fn make_plan(case: &Case, config: &MeshConfig) -> Plan {
+    let server = |version: &str| ServerView {
+        service: service_name(),
+        version: version.into(),
+        incarnation: Default::default(),
+        is_available: true,
+    };
+    let servers = Servers::from([(InstanceId(1), server("v1")), (InstanceId(2), server("v2"))]);
+    let context = PlanContext {
+        config,
+        servers: &servers,
+        settings: &PlanSettings::default(),
+        now: START,
+        seed: 1,
+    };
+    let intent = Intent::Shift {
+        service: service_name(),
+        version: "v2".into(),
+        share: 100,
+        by: START + case.by,
+    };
+    compute_plan(context, &intent).expect("the case's intent can be met")
+}
+
+impl Simulation<'_> {
+    fn run(mut self) -> Run {
+        let mut now = START;
+        loop {
+            let window_end = now + WINDOW;
+            self.serve(now);
+            now = window_end;
+            self.decide(now + ARRIVAL);
+            let m = &self.config.moves[&self.id];
+            if let MoveState::Ended { outcome, at, .. } = m.state {
+                return self.finish(outcome, at);
+            }
+            assert!(now < START + case_end(self.case), "the move never ended");
+        }
+    }
+
+    fn finish(self, outcome: Outcome, at: Millis) -> Run {
+        let (old, new) = self.calls;
+        Run {
+            outcome,
+            ended: at.since(START),
+            stopped: self.last_new.since(START),
+            exposure: new as f64 / (old + new).max(1) as f64,
+            reaction: self
+                .first_bad
+                .map_or(Millis::ZERO, |t| self.last_new.since(t)),
+            log: self.log,
+        }
+    }
+
+    /// Serves the calls of one window and hands their evidence to the judge.
+    fn serve(&mut self, now: Millis) {
+        let braked = self.brakes.keys().copied().collect();
+        let weights = compute_effective(&self.config, &service_name(), &braked, now);
+        let new_version = VersionName::from("v2");
+        let share = weights.get(&new_version).copied().unwrap_or(0) as f64 / WEIGHT_UNIT as f64;
+        let expected = self.case.rate * WINDOW.0 as f64 / 1000.0;
+        let count = expected as u64 + u64::from(self.random.fraction() < expected.fract());
+        let mut cells: BTreeMap<(Side, u64), Cell> = BTreeMap::new();
+        for _ in 0..count {
+            let side = match self.random.fraction() < share {
+                true => Side::New,
+                false => Side::Old,
+            };
+            let route = self.random.below(self.case.routes);
+            let cell = cells.entry((side, route)).or_insert_with(|| Cell {
+                route,
+                ..Cell::default()
+            });
+            let age = now.since(START);
+            let call = self.case.draw(&mut self.random, side, route, age, share);
+            cell.calls += 1;
+            cell.failures += u32::from(call.is_failure);
+            cell.latency[latency_bucket(call.latency)] += 1;
+            if side == Side::New {
+                self.last_new = now + WINDOW;
+                if call.is_bad && self.first_bad.is_none() {
+                    self.first_bad = Some(now);
+                }
+            }
+        }
+        self.count(&cells);
+        for side in [Side::Old, Side::New] {
+            self.judge.absorb(&Evidence {
+                target: self.id,
+                observer: InstanceId(side as u64 + 1),
+                side,
+                windows: vec![Window {
+                    slot: now.0 / WINDOW.0,
+                    cells: cells
+                        .iter()
+                        .filter(|((s, _), _)| *s == side)
+                        .map(|(_, c)| c.clone())
+                        .collect(),
+                }],
+            });
+        }
+    }
+
+    fn count(&mut self, cells: &BTreeMap<(Side, u64), Cell>) {
+        let mut look = (0, 0);
+        for ((side, _), cell) in cells {
+            let calls = u64::from(cell.calls);
+            match side {
+                Side::Old => self.calls.0 += calls,
+                Side::New => {
+                    self.calls.1 += calls;
+                    look.0 += calls;
+                    look.1 += u64::from(cell.failures);
+                }
+            }
+        }
+        self.looks.push(look);
+    }
+
+    fn decide(&mut self, now: Millis) {
+        match self.case.decider {
+            Decider::Product => self.judge(now),
+            Decider::Baseline => self.judge_plainly(now),
+        }
+        let m = &self.config.moves[&self.id];
+        if let MoveState::Running { step } = m.state
+            && step != self.step
+        {
+            self.step = step;
+            self.judge.enter_step();
+            self.step_calls = self.judge.calls();
+        }
+        for change in self.due_changes(now) {
+            self.apply(now, &change);
+        }
+    }
+
+    fn judge(&mut self, now: Millis) {
+        self.opinion = self.judge.advance(now);
+        if let Opinion::Bad(reason) = self.opinion.clone() {
+            self.brake(now, reason);
+        }
+    }
+
+    fn judge_plainly(&mut self, now: Millis) {
+        let recent = self.looks.iter().rev().take(BASELINE_WINDOWS);
+        let (calls, failures) = recent.fold((0, 0), |sum, look| (sum.0 + look.0, sum.1 + look.1));
+        let share = failures as f64 / calls.max(1) as f64;
+        if calls >= BASELINE_CALLS && share > BASELINE_LIMIT {
+            self.brake(now, format!("{failures} of {calls} calls failed"));
+        }
+    }
+
+    fn brake(&mut self, now: Millis, reason: String) {
+        if self.brakes.contains_key(&self.id) {
+            return;
+        }
+        self.note(now, &format!("brake: {reason}"));
+        let brake = Brake {
+            target: self.id,
+            at: now,
+            judge: InstanceId(1),
+            reason,
+        };
+        self.brakes.insert(self.id, brake);
+    }
+
+    fn due_changes(&self, now: Millis) -> Vec<Change> {
+        let (old, new) = self.judge.calls();
+        let testimony = Testimony {
+            opinion: self.opinion.clone(),
+            // The baseline asks for no number of calls.
+            old_calls: match self.case.decider {
+                Decider::Product => old - self.step_calls.0,
+                Decider::Baseline => u64::MAX,
+            },
+            new_calls: match self.case.decider {
+                Decider::Product => new - self.step_calls.1,
+                Decider::Baseline => u64::MAX,
+            },
+        };
+        Conductor::compute(&View {
+            config: &self.config,
+            brakes: &self.brakes,
+            testimony: &BTreeMap::from([(self.id, testimony)]),
+            drained: &BTreeSet::new(),
+            gone: &BTreeSet::new(),
+            epoch: Epoch(1),
+            now,
+        })
+    }
+
+    fn apply(&mut self, now: Millis, change: &Change) {
+        let age = now.since(START);
+        if self
+            .case
+            .outages
+            .iter()
+            .any(|(from, to)| (*from..*to).contains(&age))
+        {
+            return;
+        }
+        self.operations += 1;
+        let operation = OperationId(self.operations);
+        match apply_change(&self.config, change, operation, now) {
+            Ok(Some(config)) => {
+                self.config = config;
+                let text = describe(change);
+                self.note(now, &text);
+            }
+            Ok(None) => {}
+            Err(error) => self.note(now, &format!("refused: {error}")),
+        }
+    }
+
+    fn note(&mut self, now: Millis, text: &str) {
+        let age = now.since(START).0 as f64 / 1000.0;
+        self.log.push(format!("{age:.1} {text}"));
+    }
+}
+
+fn case_end(case: &Case) -> Millis {
+    let outages = case.outages.iter().map(|(_, to)| *to).max();
+    case.by + outages.unwrap_or_default() + Millis(60_000)
+}
+
+fn describe(change: &Change) -> String {
+    match change {
+        Change::Confirm(plan) => {
+            let times = plan.steps.iter().map(|s| {
+                let at = s.at.since(START).0 as f64 / 1000.0;
+                format!("{}@{at:.1}", s.progress)
+            });
+            let times: Vec<String> = times.collect();
+            let finish = plan.finish.since(START).0 as f64 / 1000.0;
+            let latest = plan.latest.since(START).0 as f64 / 1000.0;
+            format!(
+                "confirmed: steps {}, done {finish:.1} to {latest:.1}",
+                times.join(" ")
+            )
+        }
+        Change::Advance { step, .. } => format!("step {}", step + 1),
+        Change::Finish {
+            outcome, reason, ..
+        } => format!("{outcome}: {reason}"),
+        other => format!("{other:?}"),
+    }
+}
+
+/// One modelled call.
+struct Call {
+    is_failure: bool,
+    is_bad: bool,
+    latency: u64,
+}
+
+impl Case {
+    fn draw(
+        &self,
+        random: &mut SeededRandom,
+        side: Side,
+        route: u64,
+        age: Millis,
+        share: f64,
+    ) -> Call {
+        let concerns = |f: &&Fault| {
+            f.side.is_none_or(|s| s == side)
+                && f.route.is_none_or(|r| r == route)
+                && (f.from..f.until).contains(&age)
+                && share * 1000.0 >= f64::from(f.progress)
+        };
+        let faults = || self.faults.iter().filter(concerns);
+        let failing = faults().map(|f| f.failing).fold(self.background, f64::max);
+        let slowness = faults().map(|f| f.slowness).fold(1.0, f64::max);
+        let spread = 0.5 + random.fraction();
+        Call {
+            is_failure: random.fraction() < failing,
+            is_bad: faults().next().is_some(),
+            latency: (self.latency.0 as f64 * slowness * spread) as u64,
+        }
+    }
+}
--- a/crates/traffic/tests/decisions.rs
+++ b/crates/traffic/tests/decisions.rs
@@ -6,8 +6,8 @@
 use rf_traffic::keys::ClaimRequest;
 use rf_traffic::retry::AttemptEnd;
 use rf_traffic::{
-    Balancer, BalancerSettings, CallProgress, Claim, KeyTable, NextAttempt, Outcome,
-    RefusalReason, RetryBudget, RoutingTable, Settlement, StrikeBook, Suspicion, TableContext,
+    Balancer, BalancerSettings, CallProgress, Claim, KeyTable, NextAttempt, Outcome, RefusalReason,
+    RetryBudget, RoutingTable, Settlement, StrikeBook, Suspicion, TableContext,
 };
 use std::collections::BTreeSet;
 
@@ -78,11 +78,19 @@
     let mut keys: KeyTable<&str> = KeyTable::new(2, Millis(5000));
     let now = Millis(0);
     assert_eq!(keys.claim(now, &claim(1, 1, 9)), Claim::Granted);
-    assert_eq!(keys.claim(now, &claim(1, 1, 9)), Claim::Granted, "repeated message");
+    assert_eq!(
+        keys.claim(now, &claim(1, 1, 9)),
+        Claim::Granted,
+        "repeated message"
+    );
     assert_eq!(keys.claim(now, &claim(1, 2, 9)), Claim::Running);
     assert_eq!(keys.claim(now, &claim(1, 2, 8)), Claim::Reused);
     keys.settle(1, AttemptId(2), Settlement::Released);
-    assert_eq!(keys.claim(now, &claim(1, 2, 9)), Claim::Running, "not its owner");
+    assert_eq!(
+        keys.claim(now, &claim(1, 2, 9)),
+        Claim::Running,
+        "not its owner"
+    );
     keys.settle(1, AttemptId(1), Settlement::Done("answer"));
     assert_eq!(keys.claim(now, &claim(1, 2, 9)), Claim::Done("answer"));
     assert_eq!(keys.claim(now, &claim(2, 3, 9)), Claim::Granted);
@@ -114,7 +122,11 @@
     assert_eq!(book.suspicion(5), Suspicion::Guilty);
     assert_eq!(book.suspicion(6), Suspicion::None);
     book.merge(Millis(700_000), &strike(3, 700_000));
-    assert_eq!(book.suspicion(5), Suspicion::Suspect, "old strikes are forgotten");
+    assert_eq!(
+        book.suspicion(5),
+        Suspicion::Suspect,
+        "old strikes are forgotten"
+    );
 }
 
 fn member(i: u64, zone: &str, version: &str) -> Member {
@@ -186,9 +198,8 @@
     let servers = &first.services[0].versions[0].servers;
     assert_eq!(servers.len(), 24);
     let second = table(&mesh(), &members[..199]);
-    let kept = |s: &rf_traffic::table::ServerTarget| {
-        second.services[0].versions[0].servers.contains(s)
-    };
+    let kept =
+        |s: &rf_traffic::table::ServerTarget| second.services[0].versions[0].servers.contains(s);
     assert!(servers.iter().filter(|s| kept(s)).count() >= 23);
 }
 
@@ -215,10 +226,16 @@
         };
         balancer.finish(now, id, outcome);
     }
-    assert!((900..1100).contains(&new), "a quarter goes to v2, got {new}");
+    assert!(
+        (900..1100).contains(&new),
+        "a quarter goes to v2, got {new}"
+    );
     let to_failing = (0..400)
         .filter(|_| {
-            let id = balancer.pick(now, service, &tried).expect("a server").instance;
+            let id = balancer
+                .pick(now, service, &tried)
+                .expect("a server")
+                .instance;
             balancer.finish(now, id, Outcome::Answered(None));
             id.0 == 1
         })
@@ -241,7 +258,11 @@
             last.insert(id);
         }
     }
-    assert!(last.len() >= 2, "calls still spread over {} servers", last.len());
+    assert!(
+        last.len() >= 2,
+        "calls still spread over {} servers",
+        last.len()
+    );
 }
 
 #[test]
--- a/crates/traffic/tests/ledger.rs
+++ b/crates/traffic/tests/ledger.rs
@@ -76,7 +76,10 @@
         ledger.finish(Millis(0), attempt.id, Some(Text(id)));
         assert!(ledger.kept_bytes() <= 300);
     }
-    assert_eq!(ledger.ask(Millis(1), &header(0, Millis(1000))), Knowledge::Gone);
+    assert_eq!(
+        ledger.ask(Millis(1), &header(0, Millis(1000))),
+        Knowledge::Gone
+    );
     let newest = ledger.ask(Millis(1), &header(5, Millis(1000)));
     assert_eq!(newest, Knowledge::Done(Text(5)));
 }
