--- a/crates/rosemaryfork/tests/common/mod.rs
+++ b/crates/rosemaryfork/tests/common/mod.rs
@@ -1,5 +1,8 @@
 //! Clusters of real processes for the tests.
 
+// Each test file uses a part of these.
+#![allow(dead_code)]
+
 use http_types::{Method, Request, Url};
 use rf_base::{Counter, Millis, Verdict};
 use rf_rollout::change::Document;
