--- /dev/null
+++ b/crates/protocol/tests/envelope.rs
@@ -0,0 +1,123 @@
+//! Messages between daemons: what is refused, and that everything sent is understood.
+
+use proptest::prelude::*;
+use rf_base::{AttemptId, Counter, Incarnation, InstanceId, Millis, MoveId, PlanId};
+use rf_config::{Intent, MeshConfig, Move, MoveState, Outcome, Plan};
+use rf_protocol::attempt::SettledHeader;
+use rf_protocol::{AttemptHeader, EnvelopeError, MeshKey, Reply, Request, open, seal};
+use std::collections::BTreeMap;
+
+fn key() -> MeshKey {
+    MeshKey::new("mesh", "a secret of some length")
+}
+
+fn config() -> MeshConfig {
+    let plan = Plan {
+        id: PlanId(5),
+        intent: Intent::Retire {
+            instance: InstanceId(u64::MAX),
+            by: Millis(9),
+        },
+        base: Counter(1),
+        basis: u64::MAX,
+        summary: "s".to_owned(),
+        steps: Vec::new(),
+        finish: Millis(1),
+        latest: Millis(2),
+        deadline: Millis(3),
+        expires: Millis(4),
+        service: "s".into(),
+        needs: Vec::new(),
+        stops: Vec::new(),
+    };
+    let m = Move {
+        plan,
+        operation: Default::default(),
+        confirmed: Millis(7),
+        state: MoveState::Ended {
+            outcome: Outcome::Done,
+            at: Millis(8),
+            reason: "r".to_owned(),
+        },
+        before: BTreeMap::from([("v1".into(), 3)]),
+    };
+    MeshConfig {
+        counter: Counter(4),
+        moves: BTreeMap::from([(MoveId(5), m)]),
+        retired: [InstanceId(1)].into(),
+        ..MeshConfig::default()
+    }
+}
+
+#[test]
+fn a_configuration_survives_both_encodings() {
+    let request = Request::Deliver(Box::new(config()));
+    let bytes = seal(&key(), &request).expect("sealed");
+    assert_eq!(open::<Request>(&key(), &bytes), Ok(request));
+    let text = serde_json::to_string(&config()).expect("JSON");
+    let parsed: MeshConfig = rf_config::from_json(&text).expect("parses");
+    assert_eq!(parsed, config());
+    assert!(text.contains("\"m-5\""), "ids are readable: {text}");
+}
+
+#[test]
+fn other_meshes_keys_and_bodies_are_refused() {
+    let bytes = seal(&key(), &Reply::Ack(Counter(1))).expect("sealed");
+    let foreign = MeshKey::new("other", "a secret of some length");
+    let wrong = MeshKey::new("mesh", "another secret");
+    let mesh = "mesh".to_owned();
+    assert_eq!(
+        open::<Reply>(&foreign, &bytes),
+        Err(EnvelopeError::ForeignMesh { mesh })
+    );
+    assert_eq!(open::<Reply>(&wrong, &bytes), Err(EnvelopeError::WrongKey));
+    let big = vec![0; 5 * 1024 * 1024];
+    let oversized = open::<Reply>(&key(), &big);
+    assert!(matches!(oversized, Err(EnvelopeError::Oversized { .. })));
+    let garbage = open::<Reply>(&key(), b"garbage");
+    assert!(matches!(garbage, Err(EnvelopeError::Malformed { .. })));
+}
+
+#[test]
+fn attempt_headers_are_signed() {
+    let header = AttemptHeader {
+        id: AttemptId(1),
+        target: InstanceId(2),
+        incarnation: Incarnation(3),
+        expires: Millis(4),
+        fingerprint: 5,
+    };
+    let text = header.encode(&key());
+    assert_eq!(AttemptHeader::decode(&text, &key()), Ok(header));
+    let changed = text.replacen('1', "9", 1);
+    assert!(AttemptHeader::decode(&changed, &key()).is_err());
+    let settled = SettledHeader(vec![AttemptId(7), AttemptId(8)]);
+    let text = settled.encode(&key());
+    assert_eq!(SettledHeader::decode(&text, &key()), Ok(settled));
+    assert!(SettledHeader::decode("7,9;00", &key()).is_err());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 2048,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(15),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// A message with any byte changed is refused, and no bytes make the decoder panic.
+    #[test]
+    fn changed_messages_are_refused(place in 0..4096usize, change in 1..=255u8) {
+        let mut bytes = seal(&key(), &Request::Deliver(Box::new(config()))).expect("sealed");
+        let place = place % bytes.len();
+        bytes[place] ^= change;
+        prop_assert!(open::<Request>(&key(), &bytes).is_err());
+    }
+
+    #[test]
+    fn no_bytes_make_the_decoder_panic(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        prop_assert!(open::<Request>(&key(), &bytes).is_err());
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        prop_assert!(AttemptHeader::decode(&text, &key()).is_err());
+    }
+}
