Measure the membership machines at 1,100 daemons on a virtual clock

Cause: 128 processes are what one machine carries with room to spare; the slopes beyond had to be guessed.

Change: the lossy fake network of the tests moves to the stand-in package and counts sealed bytes; 'measure machines' runs it up to the target size.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cluster;
 pub mod load;
 pub mod measure;
+pub mod network;
 pub mod operator;
 pub mod platform;
 pub mod process;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -33,6 +33,7 @@
     Overhead,
     Overload,
     Judge,
+    Machines(Vec<usize>),
     Mesh(Vec<usize>),
 }
 
@@ -71,6 +72,10 @@
             measure::judge::run_all();
             Ok(())
         }
+        Measurement::Machines(sizes) => {
+            measure::machines::run(sizes);
+            Ok(())
+        }
         Measurement::Mesh(sizes) => measure::mesh::run(sizes).await,
     };
     result.map_err(|e| e.to_string())
@@ -177,16 +182,25 @@
         .to_options()
         .descr("How well moves are judged, over seeded runs on synthetic evidence.")
         .command("judge");
-    let sizes = bpaf::positional::<usize>("DAEMONS")
-        .help("Numbers of daemons to measure with")
-        .some("expected at least one number of daemons");
+    let sizes = sizes();
+    let machines = construct!(Measurement::Machines(sizes))
+        .to_options()
+        .descr("The membership and distribution machines alone, on a virtual clock.")
+        .command("machines");
+    let sizes = self::sizes();
     let mesh = construct!(Measurement::Mesh(sizes))
         .to_options()
         .descr("Cost and speed of the control half by the number of daemons.")
         .command("mesh");
-    let measurement = construct!([overhead, overload, judge, mesh]);
+    let measurement = construct!([overhead, overload, judge, machines, mesh]);
     construct!(Command::Measure(measurement))
         .to_options()
         .descr("Measures with real processes and prints tables.")
         .command("measure")
 }
+
+fn sizes() -> impl Parser<Vec<usize>> {
+    bpaf::positional::<usize>("DAEMONS")
+        .help("Numbers of daemons to measure with")
+        .some("expected at least one number of daemons")
+}
--- a/crates/standin/src/measure/overhead.rs
+++ b/crates/standin/src/measure/overhead.rs
@@ -16,7 +16,7 @@
 /// Time that the backend server takes for a call.
 const LATENCY: Millis = Millis(2);
 /// Share of the slots that is kept busy, in percent.
-const LEVELS: [u32; 3] = [10, 50, 90];
+const LEVELS: [u32; 4] = [2, 10, 50, 90];
 /// Time of one load.
 const SPAN: Millis = Millis(4000);
 /// Rounds over all paths, so that a drift of the machine's speed shows.
@@ -89,7 +89,7 @@
 }
 
 async fn load(target: SocketAddr, level: u32) -> Figures {
-    let workers = (SLOTS * level / 100) as usize;
+    let workers = (SLOTS * level / 100).max(1) as usize;
     // One call occupies a slot for its latency and the way there and back.
     let rate = workers as u64 * 1000 / (LATENCY.0 + 2);
     let load = Load::start(LoadOptions {
