--- a/crates/daemon/src/control/machine.rs
+++ b/crates/daemon/src/control/machine.rs
@@ -306,10 +306,14 @@
     /// Puts a configuration in force, if it is newer and passes the verifier.
     pub(super) fn adopt(&mut self, now: Millis, config: MeshConfig) {
         let counter = config.counter;
+        let is_first = self.config().counter == Counter(0);
         if self.distribution.adopt(config) != Adopted::InForce {
             return;
         }
         info!(%counter, "configuration in force");
+        if is_first {
+            self.postpone_read(now);
+        }
         let config = self.distribution.config();
         self.brakes.retain(|id, _| {
             let m = config.moves.get(id);
--- a/crates/daemon/src/control/platform.rs
+++ b/crates/daemon/src/control/platform.rs
@@ -18,6 +18,8 @@
 
 /// Daemons that contend for one lease.
 const CANDIDATES: usize = 3;
+/// Heartbeats after its start for which a daemon contends for no lease.
+const JOIN_HEARTBEATS: u64 = 3;
 /// Longest wait for a configuration from neighbours before the platform is read.
 const FIRST_READ: Millis = Millis(1500);
 /// Longest pause after a failed watch.
@@ -166,7 +168,8 @@
     /// A daemon that has just started waits until it knows its peers, so that a herd of returning
     /// daemons does not contend all at once.
     fn is_candidate(&self, now: Millis, kind: LeaseKind) -> bool {
-        if now.since(self.platform.started) < self.settings.control.heartbeat {
+        let heartbeat = self.settings.control.heartbeat;
+        if now.since(self.platform.started) < Millis(JOIN_HEARTBEATS * heartbeat.0) {
             return false;
         }
         let zone = &self.membership.me().zone;
@@ -207,8 +210,7 @@
         }
         if self.platform.afford(now, false) {
             self.platform.is_reading = true;
-            let poll = self.settings.control.poll;
-            self.platform.next_read = now + Millis(poll.0 / 2) + self.random.jitter(poll);
+            self.postpone_read(now);
             actions.push(Action::Platform(PlatformCall::Read));
         }
     }
@@ -300,6 +302,12 @@
         self.owner = self.owner.max(Some(owner));
     }
 
+    /// Puts the next read off, after neighbours had the configuration.
+    pub(super) fn postpone_read(&mut self, now: Millis) {
+        let poll = self.settings.control.poll;
+        self.platform.next_read = now + Millis(poll.0 / 2) + self.random.jitter(poll);
+    }
+
     fn take_object(&mut self, now: Millis, object: &Object) {
         self.platform.version = self.platform.version.max(object.version);
         match serde_json::from_slice::<MeshConfig>(&object.value) {
--- a/crates/daemon/src/control/recorder.rs
+++ b/crates/daemon/src/control/recorder.rs
@@ -10,7 +10,7 @@
 use std::collections::BTreeMap;
 
 /// Windows that are sent in one message.
-const RESENT: u64 = 4;
+const RESENT: u64 = 2;
 
 /// Counts by window and route.
 #[derive(Clone, Debug, Default)]
--- a/crates/daemon/src/traffic/shared.rs
+++ b/crates/daemon/src/traffic/shared.rs
@@ -14,7 +14,8 @@
 use rf_config::Settings;
 use rf_protocol::MeshKey;
 use rf_traffic::{
-    Balancer, BalancerSettings, KeyTable, LedgerSettings, RetryBudget, RoutingTable, StrikeBook,
+    Balancer, BalancerSettings, KeySettings, KeyTable, LedgerSettings, RetryBudget, RoutingTable,
+    StrikeBook,
 };
 use rf_transport::{Client, ClientSettings};
 use std::collections::BTreeMap;
@@ -24,11 +25,6 @@
 
 /// Settled attempts that are told in one message; the records of others expire.
 const MAX_SETTLED: usize = 64;
-/// Records of idempotency keys at one daemon.
-const KEY_RECORDS: usize = 65_536;
-/// Time for which the record of a key is kept after its call ended.
-const KEY_KEEP: Millis = Millis::from_secs(600);
-
 /// State that the traffic threads share.
 #[derive(Debug)]
 pub struct Shared {
@@ -106,7 +102,7 @@
             settled: Mutex::default(),
             balancer: Mutex::new(Balancer::new(BalancerSettings::default(), balancer_random)),
             budget: Mutex::new(RetryBudget::new(settings.traffic.retry_percent)),
-            keys: Mutex::new(KeyTable::new(KEY_RECORDS, KEY_KEEP)),
+            keys: Mutex::new(KeyTable::new(KeySettings::default())),
             random: Mutex::new(random),
             settings,
             clock,
--- a/crates/traffic/src/keys.rs
+++ b/crates/traffic/src/keys.rs
@@ -5,9 +5,13 @@
 //! at most one runs, whichever daemons they reach, as long as one of the two records survives. A
 //! record says whether its call runs, is done with its answer, or has an unknown end.
 //!
+//! Kept answers have a budget of bytes; where it is used up, a call that ran is recorded as one that
+//! may have run, which is less than is known but never wrong.
+//!
 //! Invariant: after [`Claim::Granted`] no other claim of the key is granted until it is settled as
 //! not run, or forgotten after its time.
 
+use crate::ledger::Weigh;
 use rf_base::{AttemptId, Millis};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -72,18 +76,39 @@
 pub struct KeyTable<A> {
     records: BTreeMap<u64, Record<A>>,
     due: BTreeSet<(Millis, u64)>,
-    capacity: usize,
-    keep: Millis,
+    settings: KeySettings,
+    bytes: usize,
+}
+
+/// Settings of a [`KeyTable`].
+#[derive(Clone, Debug)]
+pub struct KeySettings {
+    /// Most records.
+    pub capacity: usize,
+    /// Most bytes of kept answers.
+    pub answer_bytes: usize,
+    /// Time for which a record is kept after its call must have ended.
+    pub keep: Millis,
+}
+
+impl Default for KeySettings {
+    fn default() -> Self {
+        KeySettings {
+            capacity: 65_536,
+            answer_bytes: 32 * 1024 * 1024,
+            keep: Millis::from_secs(600),
+        }
+    }
 }
 
-impl<A: Clone> KeyTable<A> {
-    /// Makes an empty table of at most `capacity` records, each kept for `keep`.
-    pub fn new(capacity: usize, keep: Millis) -> KeyTable<A> {
+impl<A: Clone + Weigh> KeyTable<A> {
+    /// Makes an empty table.
+    pub fn new(settings: KeySettings) -> KeyTable<A> {
         KeyTable {
             records: BTreeMap::new(),
             due: BTreeSet::new(),
-            capacity,
-            keep,
+            settings,
+            bytes: 0,
         }
     }
 
@@ -96,7 +121,7 @@
             }
             return record.answer(now, request);
         }
-        if self.records.len() >= self.capacity {
+        if self.records.len() >= self.settings.capacity {
             return Claim::Full;
         }
         let record = Record {
@@ -105,7 +130,7 @@
             state: State::Running {
                 until: request.until,
             },
-            due: request.until + self.keep,
+            due: request.until + self.settings.keep,
         };
         self.due.insert((record.due, request.key));
         self.records.insert(request.key, record);
@@ -126,11 +151,28 @@
                 self.records.remove(&key);
                 self.due.remove(&(due, key));
             }
-            Settlement::Done(answer) => record.state = State::Done(answer),
+            Settlement::Done(answer) => {
+                let bytes = answer.bytes();
+                if matches!(record.state, State::Done(_)) {
+                    return;
+                }
+                record.state = match self.bytes + bytes > self.settings.answer_bytes {
+                    true => State::Doubtful,
+                    false => {
+                        self.bytes += bytes;
+                        State::Done(answer)
+                    }
+                };
+            }
             Settlement::Doubtful => record.state = State::Doubtful,
         }
     }
 
+    /// Returns the bytes of kept answers.
+    pub fn kept_bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Returns the number of records.
     pub fn len(&self) -> usize {
         self.records.len()
@@ -147,7 +189,13 @@
                 break;
             }
             self.due.pop_first();
-            self.records.remove(&key);
+            if let Some(Record {
+                state: State::Done(answer),
+                ..
+            }) = self.records.remove(&key)
+            {
+                self.bytes -= answer.bytes();
+            }
         }
     }
 }
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -15,7 +15,7 @@
 
 pub use balancer::{Balancer, BalancerSettings, Outcome};
 pub use error::{CallError, RefusalReason};
-pub use keys::{Claim, KeyTable, Settlement};
+pub use keys::{Claim, KeySettings, KeyTable, Settlement};
 pub use ledger::{Begin, Knowledge, Ledger, LedgerSettings, Weigh};
 pub use limiter::{Admission, Limiter, Ticket};
 pub use retry::{CallProgress, NextAttempt, RetryBudget};
--- a/crates/traffic/tests/decisions.rs
+++ b/crates/traffic/tests/decisions.rs
@@ -6,8 +6,9 @@
 use rf_traffic::keys::ClaimRequest;
 use rf_traffic::retry::AttemptEnd;
 use rf_traffic::{
-    Balancer, BalancerSettings, CallProgress, Claim, KeyTable, NextAttempt, Outcome, RefusalReason,
-    RetryBudget, RoutingTable, Settlement, StrikeBook, Suspicion, TableContext,
+    Balancer, BalancerSettings, CallProgress, Claim, KeySettings, KeyTable, NextAttempt, Outcome,
+    RefusalReason, RetryBudget, RoutingTable, Settlement, StrikeBook, Suspicion, TableContext,
+    Weigh,
 };
 use std::collections::BTreeSet;
 
@@ -64,6 +65,23 @@
     assert_eq!(second, NextAttempt::GiveUp);
 }
 
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Text(&'static str);
+
+impl Weigh for Text {
+    fn bytes(&self) -> usize {
+        self.0.len()
+    }
+}
+
+fn table_of_keys() -> KeyTable<Text> {
+    KeyTable::new(KeySettings {
+        capacity: 2,
+        answer_bytes: 10,
+        keep: Millis(5000),
+    })
+}
+
 fn claim(key: u64, owner: u64, fingerprint: u64) -> ClaimRequest {
     ClaimRequest {
         key,
@@ -75,7 +93,7 @@
 
 #[test]
 fn a_key_runs_one_call() {
-    let mut keys: KeyTable<&str> = KeyTable::new(2, Millis(5000));
+    let mut keys = table_of_keys();
     let now = Millis(0);
     assert_eq!(keys.claim(now, &claim(1, 1, 9)), Claim::Granted);
     assert_eq!(
@@ -91,8 +109,11 @@
         Claim::Running,
         "not its owner"
     );
-    keys.settle(1, AttemptId(1), Settlement::Done("answer"));
-    assert_eq!(keys.claim(now, &claim(1, 2, 9)), Claim::Done("answer"));
+    keys.settle(1, AttemptId(1), Settlement::Done(Text("answer")));
+    assert_eq!(
+        keys.claim(now, &claim(1, 2, 9)),
+        Claim::Done(Text("answer"))
+    );
     assert_eq!(keys.claim(now, &claim(2, 3, 9)), Claim::Granted);
     assert_eq!(keys.claim(now, &claim(3, 4, 9)), Claim::Full);
     assert_eq!(keys.claim(Millis(1000), &claim(2, 5, 9)), Claim::Doubtful);
@@ -101,12 +122,27 @@
 
 #[test]
 fn a_released_key_is_free_again() {
-    let mut keys: KeyTable<&str> = KeyTable::new(2, Millis(5000));
+    let mut keys = table_of_keys();
     keys.claim(Millis(0), &claim(1, 1, 9));
     keys.settle(1, AttemptId(1), Settlement::Released);
     assert_eq!(keys.claim(Millis(0), &claim(1, 2, 9)), Claim::Granted);
 }
 
+#[test]
+fn answers_beyond_their_bytes_become_doubtful() {
+    let mut keys = table_of_keys();
+    for key in [1, 2] {
+        keys.claim(Millis(0), &claim(key, key, 9));
+        keys.settle(key, AttemptId(key), Settlement::Done(Text("answer")));
+        assert!(keys.kept_bytes() <= 10);
+    }
+    let first = keys.claim(Millis(1), &claim(1, 7, 9));
+    assert_eq!(first, Claim::Done(Text("answer")));
+    assert_eq!(keys.claim(Millis(1), &claim(2, 7, 9)), Claim::Doubtful);
+    keys.claim(Millis(9000), &claim(3, 3, 9));
+    assert_eq!(keys.kept_bytes(), 0, "forgotten with their records");
+}
+
 #[test]
 fn strikes_from_two_instances_convict() {
     let mut book = StrikeBook::default();
