Remember keys through rolling replacements; tell the second of two editors

Cause: a new test that replaces four daemons one by one and resends a keyed call after each ran the call twice: the resend stopped at the first home that knew the answer, so a second home that had lost its record never got it back. Separately, of two operators who edit one configuration the second overwrote the first in silence.

Change: a resend claims both homes and brings the answer to the one without it. Documents may name the configuration they were made from (--base), and are refused with what differs if another stands.

--- a/crates/daemon/src/traffic/keyed.rs
+++ b/crates/daemon/src/traffic/keyed.rs
@@ -2,7 +2,8 @@
 //!
 //! The key's records live on the two daemons that rank highest for it, the second in another
 //! availability zone where there is one. Both are claimed, in rank order, before the call runs, and
-//! both are settled after it. A record that cannot be reached means that an earlier send cannot be
+//! both are settled after it. A resend that finds the answer at one of them brings it to the other, so
+//! daemons may be replaced one by one. A record that cannot be reached means that an earlier send cannot be
 //! ruled out, so the call is refused as not run.
 
 use super::answer::Answer;
@@ -77,26 +78,34 @@
         homes: Vec::new(),
         is_settled: false,
     };
+    let mut known = None;
     for home in homes {
         claim.homes.push(home);
         match claim.claim_at(&home).await {
             Some(ClaimReply::Granted) => {}
+            Some(ClaimReply::Done(answer)) => known = Some(answer),
+            // What one home knows for sure stands, whatever the other lacks.
+            _ if known.is_some() => {}
             other => {
                 claim.settle(Settlement::Released);
-                return conclude(other);
+                return Err(refuse(other));
             }
         }
     }
-    Ok(Claimed::Granted(claim))
+    let Some(answer) = known else {
+        return Ok(Claimed::Granted(claim));
+    };
+    // A home that has lost the record, or is new, gets it back.
+    claim.settle(Settlement::Done(answer.clone()));
+    Ok(Claimed::Answered(answer.to_response()))
 }
 
-fn conclude(reply: Option<ClaimReply>) -> Result<Claimed> {
+fn refuse(reply: Option<ClaimReply>) -> CallError {
     match reply {
-        Some(ClaimReply::Done(answer)) => Ok(Claimed::Answered(answer.to_response())),
-        Some(ClaimReply::Running) => Err(CallError::KeyRunning),
-        Some(ClaimReply::Doubtful) => Err(CallError::KeyDoubtful),
-        Some(ClaimReply::Reused) => Err(CallError::KeyReused),
-        Some(ClaimReply::Full | ClaimReply::Granted) | None => Err(CallError::KeyUnreachable),
+        Some(ClaimReply::Running) => CallError::KeyRunning,
+        Some(ClaimReply::Doubtful) => CallError::KeyDoubtful,
+        Some(ClaimReply::Reused) => CallError::KeyReused,
+        _ => CallError::KeyUnreachable,
     }
 }
 
--- a/crates/rollout/src/change.rs
+++ b/crates/rollout/src/change.rs
@@ -8,14 +8,14 @@
 //! counter by one.
 
 use crate::plan::{compute_basis, summarize};
-use rf_base::{Epoch, InstanceId, Millis, MoveId, OperationId, ServiceName};
+use rf_base::{Counter, Epoch, InstanceId, Millis, MoveId, OperationId, ServiceName};
 use rf_config::weights::{WEIGHT_UNIT, compute_base, compute_shifted};
 use rf_config::{
     Intent, MeshConfig, Move, MoveState, Outcome, Plan, Route, Service, VerifyErrors, verify_mesh,
 };
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Operations remembered in the configuration.
 const RECENT: usize = 64;
@@ -62,6 +62,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields, rename_all = "camelCase")]
 pub struct Document {
+    /// Counter of the configuration that the document was made from; any where absent.
+    pub base: Option<Counter>,
     /// Services by name.
     pub services: BTreeMap<ServiceName, Service>,
     /// Routes.
@@ -87,6 +89,18 @@
         /// What stands now.
         current: String,
     },
+    /// The document was made from another configuration than the one that stands.
+    #[snafu(display(
+        "the document was made from configuration {base}, now {current} stands, which differs in {differs}"
+    ))]
+    Superseded {
+        /// What it was made from.
+        base: Counter,
+        /// What stands.
+        current: Counter,
+        /// Services and routes in which the document differs from what stands.
+        differs: String,
+    },
     /// The plan's time to be confirmed has passed.
     #[snafu(display("plan {plan} expired; state the intent again"))]
     Expired {
@@ -215,6 +229,13 @@
     next: &mut MeshConfig,
     document: &Document,
 ) -> std::result::Result<bool, ChangeError> {
+    if let Some(base) = document.base.filter(|base| *base != next.counter) {
+        return Err(ChangeError::Superseded {
+            base,
+            current: next.counter,
+            differs: describe_difference(next, document),
+        });
+    }
     for m in next.running_moves() {
         let service = &m.plan.service;
         if next.services.get(service) != document.services.get(service) {
@@ -230,6 +251,26 @@
     Ok(is_changed)
 }
 
+fn describe_difference(config: &MeshConfig, document: &Document) -> String {
+    let names: BTreeSet<&ServiceName> = config
+        .services
+        .keys()
+        .chain(document.services.keys())
+        .collect();
+    let mut parts: Vec<String> = names
+        .into_iter()
+        .filter(|name| config.services.get(*name) != document.services.get(*name))
+        .map(|name| format!("service {name}"))
+        .collect();
+    if config.routes != document.routes {
+        parts.push("routes".to_owned());
+    }
+    match parts.is_empty() {
+        true => "neither services nor routes".to_owned(),
+        false => parts.join(", "),
+    }
+}
+
 fn confirm(
     next: &mut MeshConfig,
     plan: &Plan,
--- a/crates/rosemaryfork/src/cli.rs
+++ b/crates/rosemaryfork/src/cli.rs
@@ -2,7 +2,7 @@
 
 use crate::exit::Exit;
 use bpaf::{Args, OptionParser, ParseFailure, Parser, construct, long, positional};
-use rf_base::{Millis, MoveId, PlanId};
+use rf_base::{Counter, Millis, MoveId, PlanId};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -32,7 +32,7 @@
         file: PathBuf,
     },
     /// Replace services and routes.
-    Apply(Connection, PathBuf),
+    Apply(Connection, Option<Counter>, PathBuf),
     /// Plan to retire a backend server.
     Retire(Connection, Millis, String),
     /// Plan to move a share of traffic.
@@ -156,8 +156,13 @@
 
 fn apply() -> impl Parser<Command> {
     let connection = connection();
+    let base = long("base")
+        .help("Refuse unless this configuration stands; config shows its counter")
+        .argument::<u64>("COUNTER")
+        .map(Counter)
+        .optional();
     let file = positional::<PathBuf>("FILE").help("Services and routes, JSON");
-    construct!(Command::Apply(connection, file))
+    construct!(Command::Apply(connection, base, file))
         .to_options()
         .descr("Replaces services and routes, all or nothing.")
         .command("apply")
--- a/crates/rosemaryfork/src/commands.rs
+++ b/crates/rosemaryfork/src/commands.rs
@@ -6,7 +6,7 @@
 use crate::output;
 use async_channel::bounded;
 use async_std::task;
-use rf_base::{Clock, InstanceId, Millis, MoveId, PlanId, ServiceName, VersionName};
+use rf_base::{Clock, Counter, InstanceId, Millis, MoveId, PlanId, ServiceName, VersionName};
 use rf_config::{
     Intent, MeshConfig, MoveState, Outcome, Plan, Settings, from_json, verify_mesh, verify_settings,
 };
@@ -27,7 +27,7 @@
     match command {
         Command::Daemon { settings } => run_daemon(&settings),
         Command::Check { file } => check(&file),
-        Command::Apply(c, file) => apply(&c, &file),
+        Command::Apply(c, base, file) => apply(&c, base, &file),
         Command::Retire(c, by, instance) => {
             let instance = parse_instance(&instance);
             plan(&c, &Intent::Retire { instance, by })
@@ -148,7 +148,7 @@
     Ok("settings")
 }
 
-fn apply(c: &Connection, file: &Path) -> Exit {
+fn apply(c: &Connection, base: Option<Counter>, file: &Path) -> Exit {
     let text = match read(file) {
         Ok(text) => text,
         Err(exit) => return exit,
@@ -156,10 +156,11 @@
     if let Err(errors) = check_mesh(&text) {
         return refuse(format!("{}:\n{errors}", file.display()));
     }
-    let document: Document = match from_json(&text) {
+    let mut document: Document = match from_json(&text) {
         Ok(document) => document,
         Err(error) => return refuse(error),
     };
+    document.base = base.or(document.base);
     match task::block_on(client::post::<_, Accepted>(c, "/v1/apply", &document)) {
         Ok(accepted) if c.json => output::print_json(&accepted),
         Ok(accepted) => println!("configuration {} accepted", accepted.counter),
--- a/crates/rosemaryfork/tests/calls.rs
+++ b/crates/rosemaryfork/tests/calls.rs
@@ -313,6 +313,40 @@
     });
 }
 
+#[test]
+fn a_key_is_remembered_while_daemons_are_replaced_one_by_one() {
+    task::block_on(async {
+        let mut cluster = start_simple(4).await;
+        let key = [("idempotency-key", "deposit-18")];
+        let target = cluster.instances[0].callers();
+        let sent = call_with(target, Method::Post, "/d", "first", &key, Vec::new()).await;
+        assert_eq!(sent.map(|s| s.status() as u16), Some(200));
+        task::sleep(Millis(200).duration()).await;
+        let counter = cluster.instances[0]
+            .operator()
+            .status()
+            .await
+            .expect("status")
+            .counter;
+        for i in 0..4 {
+            cluster.signal_daemon(i, "KILL");
+            cluster.start_daemon(i).expect("restarted");
+            cluster.wait_in_force(counter).await.expect("back");
+            cluster.wait_servers(4).await.expect("announced");
+            let target = cluster.instances[(i + 1) % 4].callers();
+            let id = format!("again-{i}");
+            let again = call_with(target, Method::Post, "/d", &id, &key, Vec::new())
+                .await
+                .expect("an answer");
+            assert_eq!(again.status() as u16, 200, "after the loss of {i}");
+            assert_eq!(again.header("x-request-id"), Some("first"));
+            task::sleep(Millis(200).duration()).await;
+        }
+        let runs = cluster.all_runs().await;
+        assert_eq!(runs.len(), 1, "{runs:?}");
+    });
+}
+
 #[test]
 fn keys_sent_at_once_run_once() {
     task::block_on(async {
--- a/crates/rosemaryfork/tests/mesh.rs
+++ b/crates/rosemaryfork/tests/mesh.rs
@@ -291,3 +291,25 @@
         assert_eq!(after, before);
     });
 }
+
+#[test]
+fn of_two_operators_that_edit_one_configuration_the_second_is_told() {
+    task::block_on(async {
+        let cluster = start_simple(2).await;
+        let first = cluster.instances[0].operator();
+        let second = cluster.instances[1].operator();
+        let base = first.status().await.expect("status").counter;
+        let mut document = one_service(&[("v1", 100), ("v2", 0)]);
+        document.base = Some(base);
+        first.apply(&document).await.expect("accepted");
+        let mut other = one_service(&[("v1", 100), ("v3", 0)]);
+        other.base = Some(base);
+        let error = second.apply(&other).await.expect_err("superseded");
+        assert_eq!(error.status, 409);
+        assert!(
+            error.message.contains("differs in service payments"),
+            "{}",
+            error.message
+        );
+    });
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,6 +6,7 @@
 //! starts and stops processes.
 
 pub mod cluster;
+pub mod instance;
 pub mod load;
 pub mod measure;
 pub mod network;
