Make four tests catch what they missed

Change: lease answers arrive late and out of step; racing writers also apply documents, stale plans and wrong reports are checked; a test of scattered misses.

--- a/crates/platform/tests/lease.rs
+++ b/crates/platform/tests/lease.rs
@@ -58,20 +58,36 @@
     Lease::new(settings, SeededRandom::new(seed))
 }
 
-fn serve(store: &mut Store, lease: &mut Lease, sent: Millis, answered: Millis) {
-    let Some(call) = lease.poll(sent, true) else {
-        return;
-    };
-    match call {
-        LeaseCall::Get => lease.handle_get(answered, &store.get()),
+/// An answer on its way back.
+enum Answer {
+    Get(Result<Object, StoreError>),
+    Put(Result<ObjectVersion, StoreError>),
+}
+
+/// Makes the lease's next call, which takes effect at once.
+fn send(store: &mut Store, lease: &mut Lease, now: Millis) -> Option<Answer> {
+    match lease.poll(now, true)? {
+        LeaseCall::Get => Some(Answer::Get(store.get())),
         LeaseCall::Put(record, version) => {
             let value = serde_json::to_vec(&record).expect("encodes");
-            let result = store.put(value, version);
-            lease.handle_put(answered, &result);
+            Some(Answer::Put(store.put(value, version)))
         }
     }
 }
 
+fn receive(lease: &mut Lease, now: Millis, answer: &Answer) {
+    match answer {
+        Answer::Get(result) => lease.handle_get(now, result),
+        Answer::Put(result) => lease.handle_put(now, result),
+    }
+}
+
+fn serve(store: &mut Store, lease: &mut Lease, sent: Millis, answered: Millis) {
+    if let Some(answer) = send(store, lease, sent) {
+        receive(lease, answered, &answer);
+    }
+}
+
 #[test]
 fn a_released_lease_is_taken_over_at_once() {
     let mut store = Store::default();
@@ -109,15 +125,19 @@
 
 #[derive(Clone, Debug)]
 enum Op {
-    Run(usize, u64),
+    Run(usize, u64, u64),
     Pause(usize, u64),
     Down(bool),
     Lose(bool),
 }
 
+fn answer_delay() -> impl Strategy<Value = u64> {
+    prop_oneof![4 => 0..50u64, 1 => 500..2900u64]
+}
+
 fn ops() -> impl Strategy<Value = Vec<Op>> {
     let op = prop_oneof![
-        12 => (0..3usize, 1..300u64).prop_map(|(p, d)| Op::Run(p, d)),
+        12 => (0..3usize, 1..300u64, answer_delay()).prop_map(|(p, d, a)| Op::Run(p, d, a)),
         2 => (0..3usize, 500..9000u64).prop_map(|(p, d)| Op::Pause(p, d)),
         1 => any::<bool>().prop_map(Op::Down),
         1 => any::<bool>().prop_map(Op::Lose),
@@ -139,15 +159,25 @@
         let mut store = Store::default();
         let mut leases: Vec<Lease> = (0..3).map(|i| lease(i, i)).collect();
         let mut asleep = [Millis(0); 3];
+        let mut answers: [Option<(Millis, Answer)>; 3] = [None, None, None];
         let mut now = Millis(10_000);
         let mut highest = Epoch(0);
         for op in ops {
             match op {
-                Op::Run(process, delay) => {
+                Op::Run(process, delay, answer_delay) => {
                     now = now + Millis(delay);
-                    if now >= asleep[process] {
-                        // The answer takes a while; the term counts from the sending.
-                        serve(&mut store, &mut leases[process], now, now + Millis(delay / 2));
+                    if now < asleep[process] {
+                        continue;
+                    }
+                    // A late answer is taken in late; the term counts from the sending.
+                    if let Some((due, answer)) = answers[process].take() {
+                        match due <= now {
+                            true => receive(&mut leases[process], now, &answer),
+                            false => answers[process] = Some((due, answer)),
+                        }
+                    }
+                    if let Some(answer) = send(&mut store, &mut leases[process], now) {
+                        answers[process] = Some((now + Millis(answer_delay), answer));
                     }
                 }
                 Op::Pause(process, span) => asleep[process] = now + Millis(span),
--- a/crates/rollout/tests/writer.rs
+++ b/crates/rollout/tests/writer.rs
@@ -5,7 +5,7 @@
 use rf_config::{Intent, MeshConfig, MoveState, Outcome, Plan, Service, VersionSpec};
 use rf_platform::{Object, ObjectVersion, StoreError};
 use rf_rollout::change::Document;
-use rf_rollout::plan::{PlanContext, Servers};
+use rf_rollout::plan::{PlanContext, Servers, compute_basis};
 use rf_rollout::writer::Ended;
 use rf_rollout::{Change, PlanSettings, ServerView, Writer, WriterCall, WriterEnd, compute_plan};
 use std::collections::BTreeMap;
@@ -92,8 +92,11 @@
     }
 }
 
-fn document() -> Document {
-    let mut service = Service::default();
+fn document(queue: u32) -> Document {
+    let mut service = Service {
+        queue,
+        ..Service::default()
+    };
     for (version, weight) in [("v1", 1), ("v2", 0)] {
         service
             .versions
@@ -156,6 +159,7 @@
 
 #[derive(Clone, Debug)]
 enum Op {
+    Apply(usize, u32),
     Plan,
     Confirm(usize),
     Advance(usize, usize),
@@ -167,6 +171,7 @@
 
 fn ops() -> impl Strategy<Value = Vec<Op>> {
     let op = prop_oneof![
+        2 => (0..3usize, 1..9u32).prop_map(|(w, q)| Op::Apply(w, q)),
         2 => Just(Op::Plan),
         2 => (0..3usize).prop_map(Op::Confirm),
         2 => (0..3usize, 1..4usize).prop_map(|(w, s)| Op::Advance(w, s)),
@@ -189,6 +194,12 @@
             "an operation took effect twice"
         );
         prop_assert!(new.running_moves().count() <= 1, "two moves of one service");
+        for (id, m) in &new.moves {
+            if !old.moves.contains_key(id) {
+                let basis = compute_basis(old, &m.plan.service);
+                prop_assert_eq!(basis, m.plan.basis, "a stale plan was confirmed");
+            }
+        }
         for (id, m) in &old.moves {
             if let MoveState::Ended { outcome, .. } = m.state {
                 let state = new.moves.get(id).map(|m| &m.state);
@@ -215,11 +226,12 @@
     fn every_race_has_one_outcome(ops in ops()) {
         let mut store = Store::default();
         let mut writers: Vec<Writer> = (0..3).map(|i| Writer::new(SeededRandom::new(i))).collect();
-        writers[0].submit(Change::Apply(document()), Millis(u64::MAX));
+        writers[0].submit(Change::Apply(document(1)), Millis(u64::MAX));
         prop_assert!(turn(&mut store, &mut writers[0], START, Fate::Fine).is_some());
         let mut now = START;
         let mut plans: Vec<Plan> = Vec::new();
         let mut reported = Vec::new();
+        let mut finishes = BTreeMap::new();
         let mut seeds = 0;
         for op in ops {
             now = now + Millis(10);
@@ -228,6 +240,9 @@
             let latest = plans.last().map(|p| MoveId(p.id.0));
             let target = running.or(latest).unwrap_or_default();
             match op {
+                Op::Apply(w, queue) => {
+                    writers[w].submit(Change::Apply(document(queue)), now + Millis(2000));
+                }
                 Op::Plan => {
                     seeds += 1;
                     plans.extend(plan(&current, seeds));
@@ -247,7 +262,8 @@
                     let epoch = Epoch(w as u64 + 1);
                     let reason = "test".to_owned();
                     let change = Change::Finish { target, outcome, reason, epoch };
-                    writers[w].submit(change, now + Millis(2000));
+                    let job = writers[w].submit(change, now + Millis(2000));
+                    finishes.insert((w, job), (target, outcome));
                 }
                 Op::TakeBack(w) => {
                     if let Some(mut plan) = plans.last().cloned() {
@@ -262,6 +278,15 @@
                         && let WriterEnd::Written(counter) = ended.end
                     {
                         reported.push(counter);
+                        if let Some((target, outcome)) = finishes.get(&(w, ended.id)) {
+                            let newest = store.history.last().cloned().unwrap_or_default();
+                            let state = newest.moves.get(target).map(|m| m.state.clone());
+                            let as_asked = matches!(
+                                state,
+                                Some(MoveState::Ended { outcome: o, .. }) if o == *outcome
+                            );
+                            prop_assert!(as_asked, "reported {outcome}, but it is {state:?}");
+                        }
                     }
                 }
                 Op::Flush => store.flush(),
--- a/crates/standin/tests/network.rs
+++ b/crates/standin/tests/network.rs
@@ -78,6 +78,24 @@
     }
 }
 
+#[test]
+fn scattered_misses_raise_no_alert() {
+    let mut network = Network::new(12, 1, 7);
+    network
+        .run_until(Millis(10_000), Network::all_know_each_other)
+        .expect("joined");
+    for _ in 0..6 {
+        // Two exchanges in a row are lost, one fewer than an alert takes.
+        for i in 1..12 {
+            network.cut.insert((0, i));
+        }
+        network.run(Millis(1900));
+        network.cut.clear();
+        network.run(Millis(2500));
+        assert!(network.all_know_each_other());
+    }
+}
+
 #[test]
 fn a_restarted_daemon_replaces_its_former_life() {
     let mut network = Network::new(10, 2, 5);
