Let the fake platform lose answers, as its test claims

Change: reads fail only in an outage.

Conclusion: the writer was right; its test had tested less than it said.

--- a/crates/rollout/tests/writer.rs
+++ b/crates/rollout/tests/writer.rs
@@ -32,8 +32,8 @@
 impl Store {
     fn get(&self, fate: Fate) -> Result<Object, StoreError> {
         match fate {
-            Fate::Fine => self.object.clone().ok_or(StoreError::NotFound),
-            _ => Err(unavailable()),
+            Fate::Refused => Err(unavailable()),
+            _ => self.object.clone().ok_or(StoreError::NotFound),
         }
     }
 
