End connections whose rest is not waited for; measure moves with processes

Cause: a new test of limits on callers hung: after an answer that closes the connection the HTTP library reads the rest of the request's body first, so a caller that stopped sending held its connection for good.

Change: such a connection ends a second after its answer; a request without a route closes its connection too, its body being unread. Tests for limits, traces and health. measure moves: real processes under load.

--- a/crates/daemon/src/traffic/ingress.rs
+++ b/crates/daemon/src/traffic/ingress.rs
@@ -71,11 +71,12 @@
     response
 }
 
-/// Returns whether the rest of the caller's connection cannot be made sense of.
+/// Returns whether the connection is closed, because the rest of the request was not read.
 fn closes_connection(error: &CallError) -> bool {
     matches!(
         error,
         CallError::BadRequest { .. }
+            | CallError::NoRoute { .. }
             | CallError::BodyTooLarge { .. }
             | CallError::SlowBody { .. }
             | CallError::Stopping
--- a/crates/rosemaryfork/tests/calls.rs
+++ b/crates/rosemaryfork/tests/calls.rs
@@ -667,3 +667,73 @@
         assert_eq!(figures.crossed, 0);
     });
 }
+
+#[test]
+fn a_trace_goes_on_with_a_new_span_at_each_hop() {
+    task::block_on(async {
+        let cluster = start_simple(2).await;
+        let trace = "4bf92f3577b34da6a3ce929d0e0e4736";
+        let parent = format!("00-{trace}-00f067aa0ba902b7-01");
+        let headers = [("traceparent", parent.as_str())];
+        let target = cluster.instances[0].callers();
+        let sent = call_with(target, Method::Post, "/x", "t", &headers, Vec::new())
+            .await
+            .expect("an answer");
+        let seen = sent.header("x-traceparent").expect("a trace");
+        assert!(seen.starts_with(&format!("00-{trace}-")), "{seen}");
+        assert_ne!(seen, parent, "a span of its own");
+        let fresh = call(target, Method::Post, "/x", "u")
+            .await
+            .expect("an answer");
+        let seen = fresh.header("x-traceparent").expect("a new trace");
+        assert_eq!(seen.len(), parent.len());
+    });
+}
+
+#[test]
+fn limits_on_callers_hold() {
+    task::block_on(async {
+        let mut settings = rf_standin::quickstart::quick_settings();
+        settings.traffic.connections = 4;
+        settings.traffic.body_timeout = Millis(300);
+        settings.traffic.max_body = 100_000;
+        let mut cluster = Cluster::start(settings).await.expect("cluster");
+        cluster.add(spec(0, "v1")).expect("instance");
+        common::settle(&cluster, &one_service(&[("v1", 100)])).await;
+        let target = cluster.instances[0].callers();
+        let head = format!("POST {PREFIX}/x HTTP/1.1\r\nhost: a\r\nx-request-id: raw\r\n");
+        let large = format!("{head}content-length: 200000\r\n\r\n");
+        let answer = send_raw(target, large.as_bytes()).await;
+        assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
+        let slow = format!("{head}content-length: 5\r\n\r\nhe");
+        let answer = send_raw(target, slow.as_bytes()).await;
+        assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+        assert!(answer.contains("rosemaryfork-verdict: not-run"), "{answer}");
+        let mut held = Vec::new();
+        for _ in 0..4 {
+            held.push(TcpStream::connect(target).await.expect("connected"));
+        }
+        let answer = send_raw(target, format!("{head}\r\n").as_bytes()).await;
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+        drop(held);
+        assert_eq!(runs_of(&cluster, "raw").await, 0);
+    });
+}
+
+#[test]
+fn health_and_readiness_answer_without_a_key() {
+    task::block_on(async {
+        let cluster = start_simple(1).await;
+        let target = cluster.instances[0].settings.listen.operators;
+        for (path, expected) in [
+            ("/healthz", "ok"),
+            ("/readyz", "ready"),
+            ("/metrics", "# HELP"),
+        ] {
+            let head = format!("GET {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
+            let answer = send_raw(target, head.as_bytes()).await;
+            assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+            assert!(answer.contains(expected), "{path}: {answer}");
+        }
+    });
+}
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -33,6 +33,7 @@
     Overhead,
     Overload,
     Judge,
+    Moves,
     Machines(Vec<usize>),
     Mesh(Vec<usize>),
 }
@@ -72,6 +73,7 @@
             measure::judge::run_all();
             Ok(())
         }
+        Measurement::Moves => measure::moves::run().await,
         Measurement::Machines(sizes) => {
             measure::machines::run(sizes);
             Ok(())
@@ -182,6 +184,10 @@
         .to_options()
         .descr("How well moves are judged, over seeded runs on synthetic evidence.")
         .command("judge");
+    let moves = bpaf::pure(Measurement::Moves)
+        .to_options()
+        .descr("Moves to good and bad versions, with real processes under load.")
+        .command("moves");
     let sizes = sizes();
     let machines = construct!(Measurement::Machines(sizes))
         .to_options()
@@ -192,7 +198,7 @@
         .to_options()
         .descr("Cost and speed of the control half by the number of daemons.")
         .command("mesh");
-    let measurement = construct!([overhead, overload, judge, machines, mesh]);
+    let measurement = construct!([overhead, overload, judge, moves, machines, mesh]);
     construct!(Command::Measure(measurement))
         .to_options()
         .descr("Measures with real processes and prints tables.")
--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -3,6 +3,7 @@
 pub mod judge;
 pub mod machines;
 pub mod mesh;
+pub mod moves;
 pub mod overhead;
 pub mod overload;
 
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -193,6 +193,9 @@
         if let Some(id) = request.header("x-request-id") {
             response.insert_header("x-request-id", id[0].as_str());
         }
+        if let Some(trace) = request.header("traceparent") {
+            response.insert_header("x-traceparent", trace[0].as_str());
+        }
         match (number("size"), number("cut")) {
             (Some(size), Some(cut)) => {
                 let body = CutBody { left: cut as usize };
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -4,6 +4,7 @@
 //! that do not parse are answered 400 and closed; in both cases nothing of the request has run, and
 //! the answer says so.
 
+use crate::client::wants_close;
 use crate::timer::{sleep, timeout};
 use async_h1::server::{ConnectionStatus, Server};
 use async_std::net::{TcpListener, TcpStream};
@@ -46,6 +47,8 @@
 
 /// Longest head of a request, with what of its body arrives in the same reads.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
+/// Time for an answer that closes the connection to be sent.
+const CLOSE_GRACE: Millis = Millis(1000);
 /// Time between two looks whether the peer of a running request closed the connection.
 const CLOSE_CHECK: Millis = Millis(100);
 /// Pause after a failed accept, so that a lack of descriptors does not spin.
@@ -96,7 +99,14 @@
         let progress = progress.clone();
         move |request| {
             progress.is_whole.store(true, Ordering::Relaxed);
-            handler(request)
+            let answer = handler(request);
+            let progress = progress.clone();
+            async move {
+                let answer = answer.await;
+                let closes = answer.as_ref().is_ok_and(wants_close);
+                progress.is_closing.store(closes, Ordering::Relaxed);
+                answer
+            }
         }
     };
     let guarded = GuardedStream {
@@ -112,14 +122,16 @@
             _ => break,
         }
         let request = async { Some(server.accept_one().await) };
-        let bounded = request.or(progress.expire(settings.head));
+        let bounded = request
+            .or(progress.expire(settings.head))
+            .or(progress.end_closing());
         let outcome = match settings.cancels {
             true => bounded.or(progress.watch_close(&stream)).await,
             false => bounded.await,
         };
         match outcome {
             None if progress.is_whole.load(Ordering::Relaxed) => {
-                trace!("request cancelled by its peer");
+                trace!("request cancelled, or rest of its body not waited for");
                 break;
             }
             None => {
@@ -153,12 +165,14 @@
 struct HeadProgress {
     bytes: AtomicUsize,
     is_whole: AtomicBool,
+    is_closing: AtomicBool,
 }
 
 impl HeadProgress {
     fn reset(&self) {
         self.bytes.store(0, Ordering::Relaxed);
         self.is_whole.store(false, Ordering::Relaxed);
+        self.is_closing.store(false, Ordering::Relaxed);
     }
 
     /// Resolves when the head was not whole within `limit`, and never otherwise.
@@ -170,6 +184,17 @@
         None
     }
 
+    /// Resolves [`CLOSE_GRACE`] after an answer that closes the connection, and never otherwise.
+    ///
+    /// The library reads the rest of the request's body before it closes, however slowly it comes.
+    async fn end_closing<T>(&self) -> Option<T> {
+        while !self.is_closing.load(Ordering::Relaxed) {
+            sleep(CLOSE_CHECK).await;
+        }
+        sleep(CLOSE_GRACE).await;
+        None
+    }
+
     /// Resolves when the peer closes the connection after a whole head, and never otherwise.
     ///
     /// Bytes that wait to be read, of a body or a next request, hide a close until they are read.
