--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod ids;
 pub mod random;
 pub mod time;
+pub mod units;
 pub mod verdict;
 
 pub use ids::{
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod mesh;
 pub mod moves;
 pub mod parse;
+pub mod proxy;
+pub mod routes;
 pub mod settings;
 pub mod verify;
 pub mod weights;
@@ -14,5 +16,7 @@
 pub use mesh::{MeshConfig, Policy, Route, Service, VersionSpec};
 pub use moves::{Intent, Move, MoveState, Outcome, Plan, Step};
 pub use parse::{ParseError, from_json};
+pub use proxy::ProxySettings;
+pub use routes::{CallerLimits, Part, PathRoute, Repeat, Rollout, RolloutState, RouteTable};
 pub use settings::Settings;
 pub use verify::{VerifyError, VerifyErrors, verify_mesh, verify_settings};
--- /dev/null
+++ b/crates/config/src/proxy.rs
@@ -0,0 +1,145 @@
+//! Settings of a proxy whose backend servers, configuration and orders come from a platform.
+
+use rf_base::units::SpanText;
+use rf_base::{Millis, ServiceName, ZoneName};
+use serde::{Deserialize, Serialize};
+use serde_with::serde_as;
+use std::net::SocketAddr;
+
+/// Everything a proxy is told at its start.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "camelCase")]
+pub struct ProxySettings {
+    /// Name of this instance, unique in the mesh.
+    pub instance: String,
+    /// Availability zone of this instance.
+    pub zone: ZoneName,
+    /// Region of this instance.
+    pub region: String,
+    /// Addresses to listen on.
+    pub listen: ProxyListen,
+    /// The backend server beside this proxy.
+    pub server: LocalServer,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+    /// Limits of this process.
+    pub limits: ProcessLimits,
+    /// Bounds that the operators demand.
+    pub bounds: Bounds,
+    /// Filter of the log, as in `info`.
+    #[serde(default = "default_level")]
+    pub log: String,
+}
+
+fn default_level() -> String {
+    "info".to_owned()
+}
+
+/// Addresses to listen on.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "camelCase")]
+pub struct ProxyListen {
+    /// Requests of callers and of the backend server beside this proxy.
+    pub callers: SocketAddr,
+    /// Attempts and messages of other proxies.
+    pub relay: SocketAddr,
+    /// Readiness and metrics.
+    pub readiness: SocketAddr,
+    /// Announcements of the backend server.
+    pub announcements: SocketAddr,
+}
+
+/// The backend server beside a proxy.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "camelCase")]
+pub struct LocalServer {
+    /// Service.
+    pub service: ServiceName,
+    /// Address.
+    pub address: SocketAddr,
+}
+
+/// Limits of a process.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "camelCase")]
+pub struct ProcessLimits {
+    /// Memory, in megabytes.
+    pub memory: u64,
+    /// Descriptors.
+    pub descriptors: u64,
+}
+
+impl ProcessLimits {
+    /// Bytes of requests and answers that may be held at a time: a quarter of the memory, since each
+    /// may be copied once.
+    pub fn held_bytes(&self) -> u64 {
+        self.memory * 1024 * 1024 / 4
+    }
+
+    /// Connections of callers that may be open at a time: half of the descriptors, as each may need
+    /// one to another proxy.
+    pub fn connections(&self) -> usize {
+        (self.descriptors / 2) as usize
+    }
+}
+
+/// Bounds that the operators demand.
+#[serde_as]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "camelCase")]
+pub struct Bounds {
+    /// Time after which a leaving backend server gets no more requests.
+    #[serde_as(as = "SpanText")]
+    pub drain: Millis,
+    /// Time from the signal to stop until the process is killed.
+    #[serde_as(as = "SpanText")]
+    pub grace: Millis,
+    /// Repeats allowed as a share of the requests, over the whole mesh.
+    pub repeat_share: f64,
+    /// Repeats allowed besides, in each window, over the whole mesh.
+    pub repeat_slack: f64,
+    /// Share of a service's requests that an unproven version may get.
+    pub trial_share: f64,
+    /// Time within which a bad version must get nothing more.
+    #[serde_as(as = "SpanText")]
+    pub rollback: Millis,
+}
+
+impl ProxySettings {
+    /// Returns every error of the settings.
+    pub fn verify(&self) -> Vec<String> {
+        let mut errors = Vec::new();
+        let mut demand = |holds: bool, message: &str| {
+            if !holds {
+                errors.push(message.to_owned());
+            }
+        };
+        demand(!self.instance.is_empty(), "instance: is empty");
+        demand(!self.zone.0.is_empty(), "zone: is empty");
+        demand(
+            !self.server.service.0.is_empty(),
+            "server.service: is empty",
+        );
+        demand(self.limits.memory >= 32, "limits.memory: below 32 MB");
+        demand(
+            self.limits.descriptors >= 64,
+            "limits.descriptors: below 64",
+        );
+        let bounds = &self.bounds;
+        demand(
+            (0.0..=1.0).contains(&bounds.repeat_share),
+            "bounds.repeatShare: not between 0 and 1",
+        );
+        demand(
+            bounds.repeat_slack >= 0.0,
+            "bounds.repeatSlack: is negative",
+        );
+        demand(
+            (0.0..=1.0).contains(&bounds.trial_share),
+            "bounds.trialShare: not between 0 and 1",
+        );
+        demand(bounds.grace > Millis::ZERO, "bounds.grace: is zero");
+        errors
+    }
+}
--- a/crates/daemon/src/control/event.rs
+++ b/crates/daemon/src/control/event.rs
@@ -3,9 +3,9 @@
 use rf_base::{Millis, MoveId, PlanId};
 use rf_config::{Intent, MeshConfig, Plan};
 use rf_membership::Target;
-use rf_platform::{LeaseRecord, Object, ObjectVersion, StoreError};
 use rf_protocol::{Reply, Request, Strike};
 use rf_rollout::change::Document;
+use rf_store::{LeaseRecord, Object, ObjectVersion, StoreError};
 use rf_traffic::RoutingTable;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
--- a/crates/daemon/src/control/operators.rs
+++ b/crates/daemon/src/control/operators.rs
@@ -9,11 +9,11 @@
 use rf_base::{InstanceId, Millis, MoveId, PlanId, ServiceName, VersionName};
 use rf_config::{Intent, MeshConfig, Plan};
 use rf_membership::Reachability;
-use rf_platform::{Object, ObjectVersion, StoreError};
 use rf_protocol::Member;
 use rf_rollout::plan::{PlanContext, Servers};
 use rf_rollout::writer::Ended;
 use rf_rollout::{Change, ChangeError, PlanSettings, Refusal, ServerView, WriterEnd, compute_plan};
+use rf_store::{Object, ObjectVersion, StoreError};
 use std::collections::BTreeMap;
 
 /// Time for which an operator's change is tried.
--- a/crates/daemon/src/control/platform.rs
+++ b/crates/daemon/src/control/platform.rs
@@ -10,9 +10,9 @@
 use rf_base::{Epoch, Incarnation, InstanceId, Millis, SeededRandom};
 use rf_config::{MeshConfig, Settings};
 use rf_membership::overlay::compute_ranked;
-use rf_platform::{Lease, LeaseCall, LeaseSettings, Object, ObjectVersion, RateBudget, StoreError};
 use rf_protocol::Owner;
 use rf_rollout::WriterCall;
+use rf_store::{Lease, LeaseCall, LeaseSettings, Object, ObjectVersion, RateBudget, StoreError};
 use std::collections::BTreeMap;
 use tracing::{info, warn};
 
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -130,6 +130,21 @@
         self.spread_member(now, me.id, None);
     }
 
+    /// Replaces the addresses to join through.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.settings.seeds = seeds;
+    }
+
+    /// Makes the exchange by which this daemon introduces itself at `address`.
+    pub fn introduce_to(&self, address: SocketAddr) -> (Target, Exchange) {
+        (Target { id: None, address }, self.introduce())
+    }
+
+    /// Takes in a description that a daemon sent by itself.
+    pub fn handle_description(&mut self, now: Millis, member: &Member) {
+        self.take_member(now, member, member.id);
+    }
+
     /// Makes every neighbour due for an exchange now.
     pub fn kick(&mut self, now: Millis) {
         for id in &self.neighbours {
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod evidence;
 pub mod member;
 pub mod message;
+pub mod relay;
 
 pub use attempt::{AttemptHeader, AttemptHeaderError, SettledHeader};
 pub use envelope::{EnvelopeError, MeshKey, open, seal};
--- /dev/null
+++ b/crates/protocol/src/relay.rs
@@ -0,0 +1,282 @@
+//! Attempts on their way to the daemon beside a backend server, and the exchange of news.
+//!
+//! Times are relative, because the clocks of two instances may differ: the receiver counts from the
+//! moment of receipt.
+
+use crate::member::Member;
+use crate::message::{Exchange, ExchangeReply, Strike};
+use rf_base::{AttemptId, Counter, Incarnation, InstanceId, Millis, ServiceName, VersionName};
+use rf_config::{Repeat, Rollout, RouteTable};
+use serde::{Deserialize, Serialize};
+
+/// Identity of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AttemptKey {
+    /// The attempt.
+    pub id: AttemptId,
+    /// Daemon it is meant for.
+    pub target: InstanceId,
+    /// Life of that daemon.
+    pub life: Incarnation,
+}
+
+/// Bounds and rank of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AttemptTerms {
+    /// Whether the request may run again.
+    pub repeat: Repeat,
+    /// Rank; 0 goes first.
+    pub priority: u8,
+    /// Time left until the answer is worth less.
+    pub target: Millis,
+    /// Time left until the request is given up.
+    pub left: Millis,
+    /// Longest wait for a slot.
+    pub patience: Millis,
+}
+
+/// A request as it is handed to a backend server, without what concerns one connection.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Payload {
+    /// Method.
+    pub method: String,
+    /// Target as the caller sent it.
+    pub target: String,
+    /// Header fields in order.
+    pub headers: Vec<(String, String)>,
+    /// Body.
+    #[serde(with = "serde_bytes")]
+    pub body: Vec<u8>,
+}
+
+/// One attempt.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AttemptOrder {
+    /// Identity.
+    pub key: AttemptKey,
+    /// Bounds and rank.
+    pub terms: AttemptTerms,
+    /// Service that is to run it.
+    pub service: ServiceName,
+    /// Version that is to run it.
+    pub version: VersionName,
+    /// Version of the route table that decided.
+    pub table: Counter,
+    /// Id by which the caller knows its request.
+    pub request: String,
+    /// Fingerprint of the request, to recognise one that crashes backend servers.
+    pub fingerprint: u64,
+    /// What is sent.
+    pub payload: Payload,
+}
+
+/// Load of the backend server beside a daemon.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Requests it runs.
+    pub running: u32,
+    /// Requests that wait for a slot.
+    pub waiting: u32,
+    /// Requests it can run at a time.
+    pub slots: u32,
+    /// Usual time of a run.
+    pub usual: Millis,
+}
+
+/// A whole answer of a backend server.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerAnswer {
+    /// Status code.
+    pub status: u16,
+    /// Header fields in order.
+    pub headers: Vec<(String, String)>,
+    /// Body.
+    #[serde(with = "serde_bytes")]
+    pub body: Vec<u8>,
+}
+
+/// Why an attempt did not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Rejection {
+    /// No slot within the patience; carries the time until one is expected.
+    Busy(Millis),
+    /// The backend server is leaving, gone, or not of the service or version asked for.
+    NotHere,
+    /// No connection to the backend server was made.
+    Unconnected,
+    /// The backend server itself refused.
+    Shed,
+    /// The time of the attempt passed while it waited.
+    Expired,
+    /// The attempt was revoked, or is known already.
+    Revoked,
+    /// The attempt was meant for another life of the daemon.
+    ForeignLife,
+}
+
+impl Rejection {
+    /// Returns the name for logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Rejection::Busy(_) => "busy",
+            Rejection::NotHere => "not-here",
+            Rejection::Unconnected => "unconnected",
+            Rejection::Shed => "shed",
+            Rejection::Expired => "expired",
+            Rejection::Revoked => "revoked",
+            Rejection::ForeignLife => "foreign-life",
+        }
+    }
+}
+
+/// Why an attempt that may have run has no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Loss {
+    /// The backend server broke the connection or sent something else than the answer.
+    Broken,
+    /// The backend server went down while it ran the request.
+    Crashed,
+    /// The time of the attempt passed.
+    Late,
+    /// The request was given up by its sender.
+    Cancelled,
+    /// The answer is no longer kept.
+    Dropped,
+    /// An earlier life of the daemon took the attempt.
+    EarlierLife,
+    /// The daemon could not be asked.
+    Unreachable,
+}
+
+impl Loss {
+    /// Returns the name for logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Loss::Broken => "broken",
+            Loss::Crashed => "crashed",
+            Loss::Late => "late",
+            Loss::Cancelled => "cancelled",
+            Loss::Dropped => "dropped",
+            Loss::EarlierLife => "earlier-life",
+            Loss::Unreachable => "unreachable",
+        }
+    }
+}
+
+/// How an attempt ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum AttemptEnd {
+    /// The backend server answered.
+    Answered(ServerAnswer),
+    /// It did not run and never will.
+    NotRun(Rejection),
+    /// It may have run.
+    MayHaveRun(Loss),
+}
+
+/// What a ledger says about an attempt.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LedgerAnswer {
+    /// It waits or runs.
+    Pending,
+    /// It ended.
+    Ended(AttemptEnd),
+}
+
+/// What one version of a service did with the requests of one route.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionCount {
+    /// Answers and losses.
+    pub total: u64,
+    /// Those that were failures.
+    pub failed: u64,
+    /// Those that took unusually long.
+    pub slow: u64,
+}
+
+/// What both versions did with the requests of one route.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TrialCell {
+    /// Fingerprint of the route.
+    pub route: u64,
+    /// The version in force.
+    pub old: VersionCount,
+    /// The version that is tried.
+    pub new: VersionCount,
+}
+
+/// What one daemon observed of a version change since its start.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Trial {
+    /// Number of the order.
+    pub order: u64,
+    /// Daemon that observed.
+    pub observer: InstanceId,
+    /// Life of that daemon.
+    pub life: Incarnation,
+    /// Counts by route.
+    pub cells: Vec<TrialCell>,
+}
+
+impl Trial {
+    /// Returns the number of observations, which only grows in one life.
+    pub fn total(&self) -> u64 {
+        self.cells.iter().map(|c| c.old.total + c.new.total).sum()
+    }
+}
+
+/// An order to change a version, as one daemon knows it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderNews {
+    /// The order, with its recorded state.
+    pub rollout: Rollout,
+    /// Time since the order was first seen by anyone.
+    pub age: Millis,
+    /// Whether the new version was found bad.
+    pub is_stopped: bool,
+    /// Time since all requests go to the new version, where they do.
+    pub promoted: Option<Millis>,
+}
+
+/// What daemons tell each other besides who is there.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct News {
+    /// Version of the route table in force at the sender.
+    pub table: Counter,
+    /// Version changes that the sender knows.
+    pub orders: Vec<OrderNews>,
+    /// Observations of running version changes.
+    pub trials: Vec<Trial>,
+    /// Crashes of backend servers, by request.
+    pub strikes: Vec<Strike>,
+}
+
+/// Message from one daemon to another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum RelayRequest {
+    /// Run this.
+    Attempt(Box<AttemptOrder>),
+    /// Tell how an attempt ended; one that is unknown is revoked.
+    Ask(AttemptKey),
+    /// Heartbeat, descriptions of daemons, and news.
+    Exchange(Box<Exchange>, Box<News>),
+    /// Send the route table if it is newer than this version.
+    Fetch(Counter),
+    /// A description that must be known at once, as a backend server leaves.
+    Tell(Box<Member>),
+}
+
+/// Answer to a [`RelayRequest`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum RelayReply {
+    /// How an attempt ended, and the load at that moment.
+    Attempt(AttemptEnd, LoadReport),
+    /// What the ledger says.
+    Ask(LedgerAnswer),
+    /// The replier's heartbeat and news.
+    Exchange(Box<ExchangeReply>, Box<News>),
+    /// A newer route table.
+    Table(Option<Box<RouteTable>>),
+    /// Taken in.
+    Done,
+}
--- /dev/null
+++ b/crates/proxy/src/control/driver.rs
@@ -0,0 +1,178 @@
+//! The control thread, and what carries its actions out.
+
+use super::event::{Action, Event, Kind};
+use super::machine::Control;
+use crate::dialect::Dialect;
+use crate::relay;
+use crate::shared::Shared;
+use crate::source::{Source, SourceError};
+use async_channel::{Receiver, Sender};
+use async_std::future::timeout;
+use async_std::task;
+use futures_lite::future::block_on;
+use rf_base::Millis;
+use rf_config::{Rollout, RolloutState};
+use rf_membership::Target;
+use rf_protocol::relay::{RelayRequest, Trial};
+use std::sync::Arc;
+use std::thread;
+use std::time::Instant;
+use tracing::{debug, info, warn};
+
+/// Time between two ticks.
+const TICK: Millis = Millis(100);
+/// Longest wait for the reply to a message.
+const MESSAGE_TIME: Millis = Millis(500);
+/// Time between two rounds of closing idle connections.
+const PRUNE_PAUSE: Millis = Millis(5000);
+
+/// Carries actions out.
+#[derive(Debug)]
+pub struct Driver<D, S> {
+    shared: Arc<Shared<D>>,
+    source: S,
+    events: Sender<Event>,
+}
+
+impl<D: Dialect, S: Source> Driver<D, S> {
+    /// Makes a driver; outcomes of actions are sent to `events`.
+    pub fn new(shared: Arc<Shared<D>>, source: S, events: Sender<Event>) -> Driver<D, S> {
+        Driver {
+            shared,
+            source,
+            events,
+        }
+    }
+
+    /// Runs the machine on a thread of its own until the channel closes.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system where no thread can be started.
+    pub fn spawn(self, control: Control, inbox: Receiver<Event>) -> std::io::Result<()> {
+        let builder = thread::Builder::new().name("control".to_owned());
+        builder.spawn(move || self.run(control, &inbox))?;
+        Ok(())
+    }
+
+    fn run(&self, mut control: Control, inbox: &Receiver<Event>) {
+        let mut next_tick = Instant::now();
+        let mut next_prune = self.shared.now() + PRUNE_PAUSE;
+        loop {
+            let wait = next_tick.saturating_duration_since(Instant::now());
+            let event = match block_on(timeout(wait, inbox.recv())) {
+                Ok(Ok(event)) => event,
+                Ok(Err(_)) => return,
+                Err(_) => {
+                    next_tick = Instant::now() + TICK.duration();
+                    Event::Tick(self.own_trials(&control))
+                }
+            };
+            let now = self.shared.now();
+            for action in control.handle(now, event) {
+                self.carry_out(action);
+            }
+            if now >= next_prune {
+                next_prune = now + PRUNE_PAUSE;
+                self.shared.relays.prune();
+                self.shared.servers.prune();
+            }
+        }
+    }
+
+    fn own_trials(&self, control: &Control) -> Vec<Trial> {
+        let running = control.running_orders();
+        let mut book = self.shared.trials();
+        book.retain(&running);
+        let trial = |order: &u64| Trial {
+            order: *order,
+            observer: control.id(),
+            life: control.life(),
+            cells: book.cells(*order),
+        };
+        running.iter().map(trial).collect()
+    }
+
+    fn carry_out(&self, action: Action) {
+        match action {
+            Action::Send(target, kind, request) => self.send(target, kind, request),
+            Action::Answer(sender, answer) => {
+                if sender.try_send(*answer).is_err() {
+                    debug!(event = "exchange.abandoned");
+                }
+            }
+            Action::Publish(view) => {
+                let proxies = &self.shared.metrics.proxies;
+                proxies.set(view.proxies as i64);
+                self.shared.view.store(Arc::new(*view));
+            }
+            Action::Adopted(table) => {
+                let version = &self.shared.metrics.table_version;
+                version.set(table.version.0 as i64);
+                self.shared.shares().reset();
+            }
+            Action::Strikes(book) => self.shared.strikes.store(Arc::new(*book)),
+            Action::Record(rollout, state) => self.record(*rollout, state),
+            Action::Readmit(instance) => self.shared.placement().readmit(instance),
+        }
+    }
+
+    fn send(&self, target: Target, kind: Kind, request: Box<RelayRequest>) {
+        let shared = self.shared.clone();
+        let events = self.events.clone();
+        task::spawn(async move {
+            let sending = relay::send(&shared.relays, target.address, &request);
+            let reply = match timeout(MESSAGE_TIME.duration(), sending).await {
+                Ok(Ok(reply)) => Some(reply),
+                Ok(Err(error)) => {
+                    debug!(event = "message.failed", address = %target.address, %error);
+                    None
+                }
+                Err(_) => {
+                    shared.relays.forget(target.address);
+                    debug!(event = "message.timeout", address = %target.address);
+                    None
+                }
+            };
+            let result = if reply.is_some() {
+                "answered"
+            } else {
+                "failed"
+            };
+            let labels = [name_of(kind), result];
+            shared.metrics.messages.with_label_values(&labels).inc();
+            events.send(Event::Replied(target, kind, reply)).await.ok();
+        });
+    }
+
+    fn record(&self, rollout: Rollout, state: RolloutState) {
+        let source = self.source.clone();
+        let shared = self.shared.clone();
+        task::spawn(async move {
+            let service = &rollout.service;
+            let revision = rollout.revision;
+            let result = source.record(&rollout, state).await;
+            let label = match &result {
+                Ok(()) => "done",
+                Err(SourceError::Conflict) => "conflict",
+                Err(_) => "failed",
+            };
+            let calls = &shared.metrics.store_calls;
+            calls.with_label_values(&["record", label]).inc();
+            match result {
+                Ok(()) => info!(event = "rollout.recorded", %service, ?state, revision),
+                Err(error) => {
+                    warn!(event = "rollout.unrecorded", %service, ?state, revision, %error);
+                }
+            }
+        });
+    }
+}
+
+fn name_of(kind: Kind) -> &'static str {
+    match kind {
+        Kind::Exchange => "exchange",
+        Kind::Fetch => "fetch",
+        Kind::Tell => "tell",
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/control/event.rs
@@ -0,0 +1,67 @@
+//! What the control machine is told, and what it wants done.
+
+use crate::source::{ProxyEntry, Snapshot};
+use crate::view::View;
+use async_channel::Sender;
+use rf_base::InstanceId;
+use rf_config::{Rollout, RolloutState, RouteTable};
+use rf_membership::Target;
+use rf_protocol::relay::{News, RelayReply, RelayRequest, Trial};
+use rf_protocol::{Exchange, ExchangeReply, Member, Strike};
+use rf_traffic::{Resident, StrikeBook};
+
+/// Where the answer to an exchange goes.
+pub type ExchangeSender = Sender<(ExchangeReply, News)>;
+
+/// What the control machine is told.
+#[derive(Debug)]
+pub enum Event {
+    /// Time passes; carries what this proxy observed of running version changes.
+    Tick(Vec<Trial>),
+    /// Another proxy exchanges news.
+    Exchange(Box<Exchange>, Box<News>, ExchangeSender),
+    /// Another proxy describes itself, because its backend server leaves.
+    Told(Box<Member>),
+    /// A message was answered, or not.
+    Replied(Target, Kind, Option<RelayReply>),
+    /// The backend server beside this proxy came, changed or left.
+    Resident(Option<Resident>),
+    /// A backend server died while it ran a request.
+    Crashed(Strike),
+    /// Objects were read from the store.
+    Stored(Box<Snapshot>),
+    /// Entries of proxies were read from the store.
+    Entries(Vec<ProxyEntry>),
+    /// The process is about to end.
+    Stop,
+}
+
+/// Kind of a message whose reply matters.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// Heartbeat and news.
+    Exchange,
+    /// Request for a route table.
+    Fetch,
+    /// Description that must be known at once.
+    Tell,
+}
+
+/// What the control machine wants done.
+#[derive(Debug)]
+pub enum Action {
+    /// Send a message.
+    Send(Target, Kind, Box<RelayRequest>),
+    /// Answer an exchange.
+    Answer(ExchangeSender, Box<(ExchangeReply, News)>),
+    /// Put a view in force.
+    Publish(Box<View>),
+    /// Put what is known of crashing requests in force.
+    Strikes(Box<StrikeBook>),
+    /// Record the state of a version change.
+    Record(Box<Rollout>, RolloutState),
+    /// Let a backend server be chosen again at once.
+    Readmit(InstanceId),
+    /// A newer route table is in force.
+    Adopted(std::sync::Arc<RouteTable>),
+}
--- /dev/null
+++ b/crates/proxy/src/control/mod.rs
@@ -0,0 +1,13 @@
+//! The control half: who is there, which configuration is in force, and version changes.
+//!
+//! [`machine`] decides without I/O; [`driver`] runs it on a thread of its own and carries its
+//! actions out; [`sync`] follows the store.
+
+pub mod driver;
+pub mod event;
+pub mod machine;
+pub mod orders;
+pub mod sync;
+
+pub use event::{Action, Event};
+pub use machine::Control;
--- /dev/null
+++ b/crates/proxy/src/control/sync.rs
@@ -0,0 +1,194 @@
+//! Follows the store.
+//!
+//! One task for each topic reads it whole, then waits for changes; where the history is gone, or
+//! the store was away, it reads again. Another task writes this proxy's entry and reads those of
+//! the others.
+
+use super::event::Event;
+use crate::shared::Shared;
+use crate::source::{ProxyEntry, Result, Revision, Snapshot, Source, SourceError, Topic};
+use async_channel::Sender;
+use async_std::task;
+use rf_base::Millis;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use tracing::{info, warn};
+
+/// Longest wait of one watch.
+const WATCH_TIME: Millis = Millis(20_000);
+/// Pause after a change, so that changes in quick succession are read together.
+const COALESCE: Millis = Millis(150);
+/// First pause after a failed call.
+const MIN_PAUSE: Millis = Millis(150);
+/// Longest pause after a failed call.
+const MAX_PAUSE: Millis = Millis(1200);
+/// Pause before the entries are read again while few proxies are known.
+const ENTRIES_PAUSE: Millis = Millis(1500);
+/// Readings of the entries after a start.
+const ENTRIES_ROUNDS: u32 = 2;
+
+/// Whether the store answers, as seen by all tasks.
+#[derive(Debug, Default)]
+pub struct StoreHealth {
+    is_lost: AtomicBool,
+}
+
+impl StoreHealth {
+    /// Takes in a result, and logs a change.
+    fn observe<T>(&self, result: &Result<T>) {
+        let is_lost = matches!(
+            result,
+            Err(SourceError::Refused { .. }
+                | SourceError::Lost { .. }
+                | SourceError::Malformed { .. })
+        );
+        if self.is_lost.swap(is_lost, Ordering::Relaxed) == is_lost {
+            return;
+        }
+        match result {
+            Err(error) if is_lost => warn!(event = "store.lost", %error),
+            _ => info!(event = "store.regained"),
+        }
+    }
+}
+
+/// Grows after each failure and shrinks back after a success.
+#[derive(Debug)]
+struct Backoff {
+    pause: Millis,
+}
+
+impl Backoff {
+    fn new() -> Backoff {
+        Backoff { pause: MIN_PAUSE }
+    }
+
+    fn reset(&mut self) {
+        self.pause = MIN_PAUSE;
+    }
+
+    /// Waits half of the pause and a random part of the other half.
+    async fn wait<D>(&mut self, shared: &Shared<D>) {
+        let half = Millis(self.pause.0 / 2);
+        let pause = half + shared.jitter(half);
+        self.pause = Millis((self.pause.0 * 2).min(MAX_PAUSE.0));
+        task::sleep(pause.duration()).await;
+    }
+}
+
+/// Follows the store for one process.
+#[derive(Debug)]
+pub struct Sync<D, S> {
+    shared: Arc<Shared<D>>,
+    source: S,
+    events: Sender<Event>,
+    health: StoreHealth,
+}
+
+impl<D: Send + std::marker::Sync + 'static, S: Source> Sync<D, S> {
+    /// Starts the tasks.
+    pub fn start(shared: Arc<Shared<D>>, source: S, events: Sender<Event>, entry: ProxyEntry) {
+        let sync = Arc::new(Sync {
+            shared,
+            source,
+            events,
+            health: StoreHealth::default(),
+        });
+        for topic in [Topic::Table, Topic::Rollouts] {
+            let sync = sync.clone();
+            task::spawn(async move { sync.follow(topic).await });
+        }
+        task::spawn(async move { sync.meet(&entry).await });
+    }
+
+    async fn follow(&self, topic: Topic) {
+        let mut backoff = Backoff::new();
+        loop {
+            let read = self.source.read(topic).await;
+            self.observe(topic, "read", &read);
+            match read {
+                Ok(snapshot) => {
+                    backoff.reset();
+                    let revision = snapshot.revision;
+                    self.tell(snapshot).await;
+                    self.watch(topic, revision).await;
+                }
+                Err(_) => backoff.wait(&self.shared).await,
+            }
+        }
+    }
+
+    /// Watches until a watch fails.
+    async fn watch(&self, topic: Topic, mut revision: Revision) {
+        let mut backoff = Backoff::new();
+        loop {
+            let watched = self.source.watch(topic, revision, WATCH_TIME).await;
+            self.observe(topic, "watch", &watched);
+            match watched {
+                Ok(snapshot) => {
+                    backoff.reset();
+                    let is_changed = snapshot.table.is_some() || !snapshot.rollouts.is_empty();
+                    revision = snapshot.revision.max(revision);
+                    self.tell(snapshot).await;
+                    if is_changed {
+                        task::sleep(COALESCE.duration()).await;
+                    }
+                }
+                Err(_) => {
+                    backoff.wait(&self.shared).await;
+                    return;
+                }
+            }
+        }
+    }
+
+    async fn tell(&self, snapshot: Snapshot) {
+        let event = Event::Stored(Box::new(snapshot));
+        self.events.send(event).await.ok();
+    }
+
+    fn observe<T>(&self, topic: Topic, call: &str, result: &Result<T>) {
+        let kind = match topic {
+            Topic::Table => format!("{call}-table"),
+            Topic::Rollouts => format!("{call}-rollouts"),
+        };
+        self.count(&kind, result);
+    }
+
+    fn count<T>(&self, kind: &str, result: &Result<T>) {
+        let label = match result {
+            Ok(_) => "done",
+            Err(SourceError::HistoryGone) => "history-gone",
+            Err(_) => "failed",
+        };
+        let calls = &self.shared.metrics.store_calls;
+        calls.with_label_values(&[kind, label]).inc();
+        self.health.observe(result);
+    }
+
+    /// Writes this proxy's entry and reads those of the others.
+    async fn meet(&self, entry: &ProxyEntry) {
+        let mut backoff = Backoff::new();
+        loop {
+            let registered = self.source.register(entry).await;
+            self.count("register", &registered);
+            match registered {
+                Ok(()) => break,
+                Err(_) => backoff.wait(&self.shared).await,
+            }
+        }
+        let mut rounds = 0;
+        loop {
+            let is_alone = self.shared.view.load().proxies <= 1;
+            if rounds < ENTRIES_ROUNDS || is_alone {
+                let entries = self.source.entries().await;
+                self.count("entries", &entries);
+                if let Ok(entries) = entries {
+                    rounds += 1;
+                    self.events.send(Event::Entries(entries)).await.ok();
+                }
+            }
+            task::sleep(ENTRIES_PAUSE.duration()).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/gate.rs
@@ -0,0 +1,354 @@
+//! The only way to the backend server beside this proxy.
+//!
+//! A request gets a slot from the [`Queue`] and a record in the [`Ledger`]. Every sender, local or
+//! remote, passes here, so that the slots are a hard limit and "not run" is a fact. The gate is
+//! closed until the backend server has announced itself in this life of the process, and from the
+//! moment at which it says that it leaves.
+
+use async_channel::{Receiver, Sender, bounded};
+use rf_base::{AttemptId, Clock, Incarnation, InstanceId, Millis};
+use rf_config::Repeat;
+use rf_protocol::AttemptHeader;
+use rf_protocol::relay::{
+    AttemptEnd, AttemptKey, AttemptOrder, LedgerAnswer, LoadReport, Loss, Rejection,
+};
+use rf_traffic::admission::{Entry, Place, Queue, Wakeups, Wish};
+use rf_traffic::{Begin, Knowledge, Ledger, LedgerSettings, Resident};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// Result of asking for a slot.
+pub type Result<T> = std::result::Result<T, Rejection>;
+
+/// Time for which an attempt is remembered. Longer than any message can be under way between two
+/// instances, so that a late copy of a revoked attempt is recognised.
+const KEEP_RECORD: Millis = Millis::from_secs(30);
+/// Time for which an answer is kept for a sender that asks.
+const KEEP_ANSWER: Millis = Millis::from_secs(10);
+/// Bytes of kept answers.
+const ANSWER_BYTES: usize = 4 * 1024 * 1024;
+/// Records kept at most.
+const RECORDS: usize = 65_536;
+
+/// Handle to the gate; cheap to clone.
+#[derive(Clone, Debug)]
+pub struct Gate {
+    clock: Clock,
+    me: InstanceId,
+    life: Incarnation,
+    inner: Arc<Mutex<Inner>>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    queue: Queue,
+    ledger: Ledger<AttemptEnd>,
+    waiters: BTreeMap<Place, Sender<Result<()>>>,
+    pending: BTreeSet<AttemptId>,
+    resident: Option<Resident>,
+}
+
+/// A slot at the backend server, held by one attempt.
+#[derive(Debug)]
+pub struct Pass {
+    gate: Gate,
+    key: AttemptKey,
+    repeat: Repeat,
+    resident: Resident,
+    start: Millis,
+    record: Record,
+    is_measured: bool,
+}
+
+/// What the ledger is told when a pass ends.
+#[derive(Debug)]
+enum Record {
+    /// The attempt did not run.
+    NotRun,
+    /// It ran, and its end is not kept.
+    Ran,
+    /// It ran, and a sender may ask for its end.
+    Kept(AttemptEnd),
+}
+
+impl Gate {
+    /// Makes a closed gate.
+    pub fn new(clock: Clock, me: InstanceId, life: Incarnation) -> Gate {
+        let settings = LedgerSettings {
+            instance: me,
+            incarnation: life,
+            capacity: RECORDS,
+            answer_bytes: ANSWER_BYTES,
+            keep_answer: KEEP_ANSWER,
+        };
+        let inner = Inner {
+            queue: Queue::new(0),
+            ledger: Ledger::new(settings),
+            waiters: BTreeMap::new(),
+            pending: BTreeSet::new(),
+            resident: None,
+        };
+        Gate {
+            clock,
+            me,
+            life,
+            inner: Arc::new(Mutex::new(inner)),
+        }
+    }
+
+    /// Lets requests through to `resident`.
+    pub fn open(&self, resident: &Resident) {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        inner.resident = Some(resident.clone());
+        let wakeups = inner.queue.resize(now, resident.slots);
+        inner.wake(wakeups);
+    }
+
+    /// Lets nothing through any more; what waits is rejected, what runs goes on.
+    pub fn close(&self) {
+        let mut inner = self.lock();
+        inner.resident = None;
+        for place in inner.queue.clear() {
+            inner.answer(place, Err(Rejection::NotHere));
+        }
+    }
+
+    /// Returns the load of the backend server.
+    pub fn load(&self) -> LoadReport {
+        let inner = self.lock();
+        LoadReport {
+            running: inner.queue.running(),
+            waiting: inner.queue.waiting(),
+            slots: inner.queue.slots(),
+            usual: inner.queue.usual(),
+        }
+    }
+
+    /// Returns the number of attempts that wait or run.
+    pub fn busy(&self) -> usize {
+        let inner = self.lock();
+        (inner.queue.running() + inner.queue.waiting()) as usize
+    }
+
+    /// Waits for a slot as long as the order allows.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the attempt does not run; it never will.
+    pub async fn enter(&self, order: &AttemptOrder) -> Result<Pass> {
+        let terms = &order.terms;
+        let waiting = {
+            let now = self.clock.now();
+            let mut inner = self.lock();
+            self.check(&inner, order)?;
+            let wish = Wish {
+                priority: terms.priority,
+                target: now + terms.target,
+                expires: now + terms.patience.min(terms.left),
+            };
+            match inner.queue.enter(now, wish, terms.patience) {
+                Entry::Run => return self.begin(&mut inner, order),
+                Entry::Refuse(room) => return Err(Rejection::Busy(room)),
+                Entry::Wait(place) => self.wait(&mut inner, order.key.id, place),
+            }
+        };
+        waiting.finish(terms.patience.min(terms.left)).await?;
+        let mut inner = self.lock();
+        match self.check(&inner, order) {
+            Ok(()) => self.begin(&mut inner, order),
+            Err(rejection) => {
+                inner.release(self.clock.now(), None);
+                Err(rejection)
+            }
+        }
+    }
+
+    fn check(&self, inner: &Inner, order: &AttemptOrder) -> Result<()> {
+        if order.key.target != self.me || order.key.life != self.life {
+            return Err(Rejection::ForeignLife);
+        }
+        let is_here = inner
+            .resident
+            .as_ref()
+            .is_some_and(|r| r.service == order.service && r.version == order.version);
+        match is_here {
+            true => Ok(()),
+            false => Err(Rejection::NotHere),
+        }
+    }
+
+    fn wait(&self, inner: &mut Inner, id: AttemptId, place: Place) -> Waiting {
+        let (sender, receiver) = bounded(1);
+        inner.waiters.insert(place, sender);
+        inner.pending.insert(id);
+        Waiting {
+            gate: self.clone(),
+            id,
+            place,
+            receiver,
+            is_over: false,
+        }
+    }
+
+    /// Records the attempt; its slot is held already.
+    fn begin(&self, inner: &mut Inner, order: &AttemptOrder) -> Result<Pass> {
+        let now = self.clock.now();
+        let begun = inner.ledger.begin(now, &self.header(&order.key));
+        match (begun, &inner.resident) {
+            (Begin::Run, Some(resident)) => Ok(Pass {
+                gate: self.clone(),
+                key: order.key,
+                repeat: order.terms.repeat,
+                resident: resident.clone(),
+                start: now,
+                record: Record::Kept(AttemptEnd::MayHaveRun(Loss::Cancelled)),
+                is_measured: false,
+            }),
+            (begun, _) => {
+                if begun == Begin::Run {
+                    inner.ledger.revoke(order.key.id);
+                }
+                inner.release(now, None);
+                Err(match begun {
+                    Begin::Run => Rejection::NotHere,
+                    Begin::Expired => Rejection::Expired,
+                    Begin::Revoked => Rejection::Revoked,
+                    Begin::ForeignLife => Rejection::ForeignLife,
+                    Begin::Full => Rejection::Busy(KEEP_RECORD),
+                })
+            }
+        }
+    }
+
+    /// Tells how an attempt ended; one that is unknown is revoked in the same step.
+    pub fn ask(&self, key: &AttemptKey) -> LedgerAnswer {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        if inner.pending.contains(&key.id) {
+            return LedgerAnswer::Pending;
+        }
+        match inner.ledger.ask(now, &self.header(key)) {
+            Knowledge::Running => LedgerAnswer::Pending,
+            Knowledge::NotRun => LedgerAnswer::Ended(AttemptEnd::NotRun(Rejection::Revoked)),
+            Knowledge::Done(end) => LedgerAnswer::Ended(end),
+            Knowledge::Gone => LedgerAnswer::Ended(AttemptEnd::MayHaveRun(Loss::Dropped)),
+            Knowledge::Unknown => LedgerAnswer::Ended(AttemptEnd::MayHaveRun(Loss::EarlierLife)),
+        }
+    }
+
+    fn header(&self, key: &AttemptKey) -> AttemptHeader {
+        AttemptHeader {
+            id: key.id,
+            target: key.target,
+            incarnation: key.life,
+            expires: self.clock.now() + KEEP_RECORD,
+            fingerprint: 0,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Inner {
+    fn release(&mut self, now: Millis, span: Option<Millis>) {
+        let wakeups = self.queue.leave(now, span);
+        self.wake(wakeups);
+    }
+
+    fn wake(&mut self, wakeups: Wakeups) {
+        for place in wakeups.granted {
+            self.answer(place, Ok(()));
+        }
+        for place in wakeups.expired {
+            self.answer(place, Err(Rejection::Expired));
+        }
+    }
+
+    fn answer(&mut self, place: Place, answer: Result<()>) {
+        if let Some(waiter) = self.waiters.remove(&place) {
+            waiter.try_send(answer).ok();
+        }
+    }
+}
+
+/// An attempt that waits for a slot.
+#[derive(Debug)]
+struct Waiting {
+    gate: Gate,
+    id: AttemptId,
+    place: Place,
+    receiver: Receiver<Result<()>>,
+    is_over: bool,
+}
+
+impl Waiting {
+    async fn finish(mut self, limit: Millis) -> Result<()> {
+        let answer = async_std::future::timeout(limit.duration(), self.receiver.recv()).await;
+        match answer {
+            Ok(answer) => {
+                self.is_over = true;
+                answer.unwrap_or(Err(Rejection::NotHere))
+            }
+            Err(_) => Err(Rejection::Expired),
+        }
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        let mut inner = self.gate.lock();
+        inner.pending.remove(&self.id);
+        if self.is_over {
+            return;
+        }
+        if inner.queue.cancel(self.place) {
+            inner.waiters.remove(&self.place);
+        } else if self.receiver.try_recv() == Ok(Ok(())) {
+            let now = self.gate.clock.now();
+            inner.release(now, None);
+        }
+    }
+}
+
+impl Pass {
+    /// Returns the backend server.
+    pub fn resident(&self) -> &Resident {
+        &self.resident
+    }
+
+    /// Returns the time since the slot was had.
+    pub fn age(&self) -> Millis {
+        self.gate.clock.now().since(self.start)
+    }
+
+    /// Ends the attempt and returns its end.
+    pub fn finish(mut self, end: AttemptEnd) -> AttemptEnd {
+        self.is_measured = matches!(
+            end,
+            AttemptEnd::Answered(_) | AttemptEnd::MayHaveRun(Loss::Late)
+        );
+        self.record = match (&end, self.repeat) {
+            (AttemptEnd::NotRun(_), _) => Record::NotRun,
+            (_, Repeat::Once) => Record::Kept(end.clone()),
+            (_, Repeat::Idempotent) => Record::Ran,
+        };
+        end
+    }
+}
+
+impl Drop for Pass {
+    fn drop(&mut self) {
+        let now = self.gate.clock.now();
+        let span = now.since(self.start);
+        let mut inner = self.gate.lock();
+        match std::mem::replace(&mut self.record, Record::Ran) {
+            Record::NotRun => inner.ledger.revoke(self.key.id),
+            Record::Ran => inner.ledger.finish(now, self.key.id, None),
+            Record::Kept(end) => inner.ledger.finish(now, self.key.id, Some(end)),
+        }
+        inner.release(now, self.is_measured.then_some(span));
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/ingress.rs
@@ -0,0 +1,355 @@
+//! Takes the requests of callers and of the backend server beside this proxy.
+
+use crate::dialect::{CallerTags, Dialect};
+use crate::listener::accept;
+use crate::pursue::{Call, Final, Progress, Reason, pursue};
+use crate::shared::{Hold, Shared};
+use crate::view::{ServiceView, View};
+use async_std::future::timeout;
+use async_std::net::TcpListener;
+use futures_lite::FutureExt;
+use rf_base::ids::hash_key;
+use rf_base::{Millis, ServiceName, Verdict};
+use rf_config::{CallerLimits, PathRoute};
+use rf_protocol::relay::{Payload, ServerAnswer};
+use rf_transport::h1::{
+    Connection, Framing, Headers, ReadError, ReadLimits, RequestHead, ResponseHead, frame_request,
+};
+use std::sync::Arc;
+use tracing::{Instrument, debug_span, info};
+
+/// Time by which the final answer may follow a deadline, so that an answer at the deadline, or the
+/// news that there is none, still arrives.
+const FINAL_GRACE: Millis = Millis(80);
+/// Bytes that a caller may send ahead while its request runs.
+const AHEAD: usize = 64 * 1024;
+/// Time added to the idle time that callers were promised.
+const IDLE_GRACE: Millis = Millis(1000);
+/// Pause that a caller is told while no route table is known.
+const UNKNOWN_RETRY: Millis = Millis(300);
+/// Pause that a caller is told where too much is held in memory.
+const MEMORY_RETRY: Millis = Millis(200);
+
+/// Serves callers until the task is dropped.
+pub async fn serve<D: Dialect>(shared: Arc<Shared<D>>, listener: TcpListener) {
+    let connections = shared.settings.load().limits.connections();
+    accept(listener, connections, move |connection| {
+        serve_connection(shared.clone(), connection)
+    })
+    .await;
+}
+
+async fn serve_connection<D: Dialect>(shared: Arc<Shared<D>>, mut connection: Connection) {
+    loop {
+        let limits = shared.view.load().table.limits;
+        let idle = limits.idle_time + IDLE_GRACE;
+        match timeout(idle.duration(), connection.wait_readable()).await {
+            Ok(Ok(())) => {}
+            _ => return,
+        }
+        let served = serve_request(&shared, &mut connection, &limits).await;
+        if served != Served::KeepOpen {
+            return;
+        }
+    }
+}
+
+/// What becomes of a connection after a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Served {
+    KeepOpen,
+    Close,
+}
+
+/// A request as it was read.
+struct Received {
+    head: RequestHead,
+    body: Vec<u8>,
+    tags: CallerTags,
+    start: Millis,
+    _hold: Hold,
+}
+
+async fn serve_request<D: Dialect>(
+    shared: &Arc<Shared<D>>,
+    connection: &mut Connection,
+    limits: &CallerLimits,
+) -> Served {
+    let _guard = shared.enter_call();
+    let reading = read_request(shared, connection, limits);
+    let received = match timeout(limits.head_time.duration(), reading).await {
+        Ok(Ok(received)) => received,
+        Ok(Err(refusal)) => return refuse(shared, connection, refusal).await,
+        Err(_) => return refuse(shared, connection, Refusal::status(408)).await,
+    };
+    let keeps_open = received.head.keeps_open();
+    let is_head = received.head.method == "HEAD";
+    let answering = async { Some(answer(shared, received).await) };
+    let leaving = async {
+        connection.wait_closed(AHEAD).await;
+        None
+    };
+    let Some(response) = answering.or(leaving).await else {
+        return Served::Close;
+    };
+    let closes = !keeps_open || shared.is_stopping();
+    write_response(connection, response, closes, is_head).await
+}
+
+/// A request that is not routed.
+struct Refusal {
+    status: u16,
+    retry: Option<Millis>,
+}
+
+impl Refusal {
+    fn status(status: u16) -> Refusal {
+        Refusal {
+            status,
+            retry: None,
+        }
+    }
+}
+
+async fn read_request<D: Dialect>(
+    shared: &Shared<D>,
+    connection: &mut Connection,
+    limits: &CallerLimits,
+) -> Result<Received, Refusal> {
+    let limits = ReadLimits {
+        head: limits.head,
+        body: limits.body,
+    };
+    let head = connection.read_request(&limits).await;
+    let head = head.map_err(|e| Refusal::status(status_of(&e)))?;
+    let start = shared.now();
+    let framing = frame_request(&head).map_err(|_| Refusal::status(400))?;
+    let expected = match framing {
+        Framing::Length(n) => n,
+        _ => 0,
+    };
+    let hold = shared.held.take(expected).ok_or(Refusal {
+        status: 503,
+        retry: Some(MEMORY_RETRY),
+    })?;
+    if head.headers.has_token("expect", "100-continue") {
+        let interim = b"HTTP/1.1 100 Continue\r\n\r\n";
+        let sent = connection.write(interim).await;
+        sent.map_err(|_| Refusal::status(400))?;
+    }
+    let body = connection.read_body(framing, &limits).await;
+    let body = body.map_err(|e| Refusal::status(status_of(&e)))?;
+    let tags = shared.dialect.read_caller(&head.headers);
+    Ok(Received {
+        head,
+        body,
+        tags,
+        start,
+        _hold: hold,
+    })
+}
+
+fn status_of(error: &ReadError) -> u16 {
+    match error {
+        ReadError::HeadTooLarge { .. } => 431,
+        ReadError::BodyTooLarge { .. } => 413,
+        _ => 400,
+    }
+}
+
+/// Answers a request that was not read whole; its connection cannot be used again.
+async fn refuse<D: Dialect>(
+    shared: &Shared<D>,
+    connection: &mut Connection,
+    refusal: Refusal,
+) -> Served {
+    let status = refusal.status;
+    info!(event = "request.unread", status);
+    let mut head = ResponseHead::new(status);
+    if let Some(wait) = refusal.retry {
+        shared.dialect.mark_retry(&mut head.headers, wait);
+    }
+    let response = Response {
+        head,
+        body: Vec::new(),
+    };
+    write_response(connection, response, true, false).await
+}
+
+/// A response to a caller.
+struct Response {
+    head: ResponseHead,
+    body: Vec<u8>,
+}
+
+async fn write_response(
+    connection: &mut Connection,
+    mut response: Response,
+    closes: bool,
+    is_head: bool,
+) -> Served {
+    if closes {
+        response.head.headers.add("Connection", "close");
+    }
+    let has_body = !matches!(response.head.status, 204 | 304);
+    let mut bytes = response
+        .head
+        .encode(has_body.then_some(response.body.len()));
+    if !is_head {
+        bytes.append(&mut response.body);
+    }
+    let result = connection.write(&bytes).await;
+    match result.is_ok() && !closes {
+        true => Served::KeepOpen,
+        false => Served::Close,
+    }
+}
+
+async fn answer<D: Dialect>(shared: &Arc<Shared<D>>, received: Received) -> Response {
+    let view = shared.view.load_full();
+    let host = received.head.headers.get("host").unwrap_or_default();
+    if !view.is_known() {
+        let request = &received.tags.request;
+        info!(event = "request.refused", request, reason = "no-table");
+        return unavailable(shared, UNKNOWN_RETRY);
+    }
+    let Some(route) = view.table.find(host, received.head.path()) else {
+        let request = &received.tags.request;
+        let table = view.table.version.0;
+        info!(event = "request.unrouted", request, host, table);
+        return plain(404);
+    };
+    let service = shared.shares().deal(route).cloned();
+    let Some(service) = service else {
+        return unavailable(shared, UNKNOWN_RETRY);
+    };
+    let request = received.tags.request.clone();
+    let start = received.start;
+    let span = debug_span!("request", request, route = route.name);
+    let ended = follow(shared, &view, route, &service, received);
+    let (response, verdict, reason) = ended.instrument(span).await;
+    let status = response.head.status;
+    let took = shared.now().since(start);
+    let class = format!("{}xx", status / 100);
+    let labels = [service.as_str(), class.as_str(), verdict.as_str()];
+    shared.metrics.requests.with_label_values(&labels).inc();
+    let seconds = shared
+        .metrics
+        .request_seconds
+        .with_label_values(&[service.as_str()]);
+    seconds.observe(took.0 as f64 / 1000.0);
+    if status >= 500 {
+        info!(
+            event = "request.failed",
+            request,
+            route = route.name,
+            service = service.as_str(),
+            status,
+            verdict = verdict.as_str(),
+            reason,
+            table = view.table.version.0,
+            took = took.0,
+        );
+    }
+    response
+}
+
+/// Follows a request to its end; returns the response, whether it ran, and why it failed.
+async fn follow<D: Dialect>(
+    shared: &Arc<Shared<D>>,
+    view: &View,
+    route: &PathRoute,
+    service: &ServiceName,
+    received: Received,
+) -> (Response, Verdict, &'static str) {
+    let none = ServiceView::default();
+    let start = received.start;
+    let left = received.tags.left.unwrap_or(route.timeout);
+    let deadline = start + left.min(route.timeout);
+    let progress = Progress::default();
+    let fingerprint = compute_fingerprint(shared, &received);
+    let request = received.tags.request.clone();
+    let call = Call {
+        route,
+        service,
+        table: view.table.version,
+        servers: view.services.get(service).unwrap_or(&none),
+        request: &request,
+        fingerprint,
+        start,
+        deadline,
+        payload: make_payload(shared, received),
+        progress: &progress,
+    };
+    let limit = deadline.since(shared.now()) + FINAL_GRACE;
+    match timeout(limit.duration(), pursue(shared, call)).await {
+        Ok(Final::Answer(answer)) => {
+            shared.observe_size(&route.name, answer.body.len());
+            (pass_on(answer), Verdict::Ran, "answered")
+        }
+        Ok(Final::Refused(Reason::Crashing, _)) => {
+            (plain(502), Verdict::MayHaveRun, Reason::Crashing.as_str())
+        }
+        Ok(Final::Refused(reason, wait)) => {
+            (unavailable(shared, wait), Verdict::NotRun, reason.as_str())
+        }
+        Ok(Final::Lost(loss)) => {
+            let status = match loss {
+                rf_protocol::relay::Loss::Late => 504,
+                _ => 502,
+            };
+            (plain(status), Verdict::MayHaveRun, loss.as_str())
+        }
+        Err(_) if progress.may_have_run() => (plain(504), Verdict::MayHaveRun, "late"),
+        Err(_) => (unavailable(shared, UNKNOWN_RETRY), Verdict::NotRun, "late"),
+    }
+}
+
+fn compute_fingerprint<D>(shared: &Shared<D>, received: &Received) -> u64 {
+    let service = &shared.settings.load().server.service;
+    let head = &received.head;
+    let host = head.headers.get("host").unwrap_or_default();
+    let body = hash_key(&received.body);
+    let text = format!("{} {host} {} {service} {body:x}", head.method, head.target);
+    hash_key(text.as_bytes())
+}
+
+fn make_payload<D: Dialect>(shared: &Shared<D>, received: Received) -> Payload {
+    let mut headers: Headers = received.head.headers;
+    headers.strip_hop();
+    headers.remove("expect");
+    let settings = shared.settings.load();
+    shared
+        .dialect
+        .mark_origin(&mut headers, &settings.server.service);
+    Payload {
+        method: received.head.method,
+        target: received.head.target,
+        headers: headers.into_fields(),
+        body: received.body,
+    }
+}
+
+fn pass_on(answer: ServerAnswer) -> Response {
+    Response {
+        head: ResponseHead {
+            status: answer.status,
+            minor: 1,
+            headers: Headers::from_fields(answer.headers),
+        },
+        body: answer.body,
+    }
+}
+
+fn plain(status: u16) -> Response {
+    Response {
+        head: ResponseHead::new(status),
+        body: Vec::new(),
+    }
+}
+
+fn unavailable<D: Dialect>(shared: &Shared<D>, wait: Millis) -> Response {
+    let mut response = plain(503);
+    shared.dialect.mark_retry(&mut response.head.headers, wait);
+    response
+}
--- /dev/null
+++ b/crates/proxy/src/peers.rs
@@ -0,0 +1,139 @@
+//! Takes attempts and messages of other proxies.
+
+use crate::control::Event;
+use crate::dialect::Dialect;
+use crate::listener::accept;
+use crate::relay::{self, MAX_MESSAGE};
+use crate::run;
+use crate::shared::Shared;
+use async_channel::bounded;
+use async_std::net::TcpListener;
+use futures_lite::FutureExt;
+use rf_base::Counter;
+use rf_config::Repeat;
+use rf_protocol::relay::{AttemptEnd, AttemptOrder, RelayReply, RelayRequest};
+use rf_transport::h1::{Connection, ReadError, ReadLimits, ResponseHead, frame_request};
+use std::sync::Arc;
+use tracing::{debug, warn};
+
+/// Bytes that a proxy may send ahead while its attempt runs.
+const AHEAD: usize = 64 * 1024;
+
+/// Serves other proxies until the task is dropped.
+pub async fn serve<D: Dialect>(shared: Arc<Shared<D>>, listener: TcpListener) {
+    let connections = shared.settings.load().limits.connections();
+    accept(listener, connections, move |connection| {
+        serve_connection(shared.clone(), connection)
+    })
+    .await;
+}
+
+async fn serve_connection<D: Dialect>(shared: Arc<Shared<D>>, mut connection: Connection) {
+    let limits = ReadLimits {
+        body: MAX_MESSAGE,
+        ..ReadLimits::default()
+    };
+    loop {
+        let message = match read_message(&mut connection, &limits).await {
+            Ok(message) => message,
+            Err(ReadError::Closed) => return,
+            Err(error) => {
+                debug!(event = "message.refused", %error);
+                return;
+            }
+        };
+        let Some(reply) = answer(&shared, &mut connection, message).await else {
+            return;
+        };
+        if write_reply(&mut connection, &reply).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn read_message(
+    connection: &mut Connection,
+    limits: &ReadLimits,
+) -> Result<RelayRequest, ReadError> {
+    let malformed = |message: String| ReadError::Malformed { message };
+    let head = connection.read_request(limits).await?;
+    let framing = frame_request(&head).map_err(|e| malformed(e.to_string()))?;
+    let body = connection.read_body(framing, limits).await?;
+    relay::decode(&body).map_err(|e| malformed(e.to_string()))
+}
+
+async fn write_reply(connection: &mut Connection, reply: &RelayReply) -> std::io::Result<()> {
+    let body = relay::encode(reply).map_err(std::io::Error::other)?;
+    let mut bytes = ResponseHead::new(200).encode(Some(body.len()));
+    bytes.extend_from_slice(&body);
+    connection.write(&bytes).await
+}
+
+/// Answers a message; `None` where its sender went away.
+async fn answer<D: Dialect>(
+    shared: &Shared<D>,
+    connection: &mut Connection,
+    message: RelayRequest,
+) -> Option<RelayReply> {
+    match message {
+        RelayRequest::Attempt(order) => {
+            let end = run_attempt(shared, connection, &order).await?;
+            Some(RelayReply::Attempt(end, shared.gate.load()))
+        }
+        RelayRequest::Ask(key) => Some(RelayReply::Ask(shared.gate.ask(&key))),
+        RelayRequest::Exchange(exchange, news) => {
+            let (sender, receiver) = bounded(1);
+            shared.tell(Event::Exchange(exchange, news, sender));
+            let (reply, news) = receiver.recv().await.ok()?;
+            Some(RelayReply::Exchange(Box::new(reply), Box::new(news)))
+        }
+        RelayRequest::Tell(member) => {
+            shared.tell(Event::Told(member));
+            Some(RelayReply::Done)
+        }
+        RelayRequest::Fetch(version) => Some(RelayReply::Table(newer_table(shared, version))),
+    }
+}
+
+fn newer_table<D>(shared: &Shared<D>, version: Counter) -> Option<Box<rf_config::RouteTable>> {
+    let view = shared.view.load();
+    let is_newer = view.table.version > version;
+    is_newer.then(|| Box::new(rf_config::RouteTable::clone(&view.table)))
+}
+
+/// Runs an attempt; one that waits, or may be repeated, ends when its sender goes away.
+async fn run_attempt<D: Dialect>(
+    shared: &Shared<D>,
+    connection: &mut Connection,
+    order: &AttemptOrder,
+) -> Option<AttemptEnd> {
+    let start = shared.now();
+    let entering = async { Some(shared.gate.enter(order).await) };
+    let entered = entering.or(wait_gone(connection)).await?;
+    let pass = match entered {
+        Ok(pass) => pass,
+        Err(rejection) => {
+            let name = rejection.as_str();
+            shared.metrics.runs.with_label_values(&[name]).inc();
+            return Some(AttemptEnd::NotRun(rejection));
+        }
+    };
+    let waited = shared.now().since(start);
+    let running = async { Some(run::run(shared, pass, order, waited).await) };
+    match order.terms.repeat {
+        // The connection may have been reset on the way; the sender will ask for the end.
+        Repeat::Once => running.await,
+        Repeat::Idempotent => {
+            let end = running.or(wait_gone(connection)).await;
+            if end.is_none() {
+                warn!(event = "run.cancelled", request = order.request, attempt = %order.key.id);
+            }
+            end
+        }
+    }
+}
+
+async fn wait_gone<T>(connection: &mut Connection) -> Option<T> {
+    connection.wait_closed(AHEAD).await;
+    None
+}
--- /dev/null
+++ b/crates/proxy/src/pursue.rs
@@ -0,0 +1,399 @@
+//! Pursues one request over the backend servers of its service.
+
+use crate::dialect::Dialect;
+use crate::relay;
+use crate::run;
+use crate::shared::Shared;
+use crate::trials::Side;
+use crate::view::{ServiceView, Target};
+use rf_base::{InstanceId, Millis, ServiceName, Verdict};
+use rf_config::PathRoute;
+use rf_protocol::relay::{
+    AttemptEnd, AttemptKey, AttemptOrder, AttemptTerms, LoadReport, Loss, Payload, Rejection,
+    ServerAnswer,
+};
+use rf_rollout::trial::share_at;
+use rf_traffic::{Candidate, Next, OfferEnd, Pursuit};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use tracing::info;
+
+/// Instances whose backend server may die of a request before it is refused. The rules of the
+/// users' platform count requests that crash a fourth server.
+const MAX_CRASHES: usize = 3;
+/// Part of the time left that an answer which misses its target may wait for a slot.
+const LATE_PART: f64 = 0.3;
+/// What a byte that leaves the availability zone costs, as time, in milliseconds per kilobyte.
+const DISTANCE_PER_KB: f64 = 10.0;
+/// Bytes of a message besides its body.
+const HEAD_BYTES: f64 = 700.0;
+/// Shortest pause that a refused caller is told.
+const MIN_RETRY: Millis = Millis(50);
+/// Rounds of offers to all servers.
+const ROUNDS: u32 = 2;
+
+/// One request on its way.
+#[derive(Debug)]
+pub struct Call<'a> {
+    /// Route.
+    pub route: &'a PathRoute,
+    /// Service that is to run it.
+    pub service: &'a ServiceName,
+    /// Version of the route table that decided.
+    pub table: rf_base::Counter,
+    /// Backend servers of the service.
+    pub servers: &'a ServiceView,
+    /// Id by which the caller knows it.
+    pub request: &'a str,
+    /// Fingerprint, to recognise it if it crashes backend servers.
+    pub fingerprint: u64,
+    /// Time at which it came.
+    pub start: Millis,
+    /// Time by which it must have its final answer.
+    pub deadline: Millis,
+    /// What is sent.
+    pub payload: Payload,
+    /// Whether it may have run; read when its time runs out.
+    pub progress: &'a Progress,
+}
+
+/// What is known while a request is under way.
+#[derive(Debug, Default)]
+pub struct Progress {
+    may_have_run: AtomicBool,
+}
+
+impl Progress {
+    /// Returns whether the request may have run.
+    pub fn may_have_run(&self) -> bool {
+        self.may_have_run.load(Ordering::Relaxed)
+    }
+
+    fn set(&self, may_have_run: bool) {
+        self.may_have_run.store(may_have_run, Ordering::Relaxed);
+    }
+}
+
+/// Final end of a request.
+#[derive(Debug)]
+pub enum Final {
+    /// A backend server's answer.
+    Answer(ServerAnswer),
+    /// It did not run; the caller may come back after this time.
+    Refused(Reason, Millis),
+    /// It may have run, and there is no answer.
+    Lost(Loss),
+}
+
+/// Why a request was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// No backend server of the service is known.
+    NoServer,
+    /// None has room in time.
+    Busy,
+    /// Backend servers died of it.
+    Crashing,
+    /// Its time passed while it waited.
+    Expired,
+}
+
+impl Reason {
+    /// Returns the name for logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Reason::NoServer => "no-server",
+            Reason::Busy => "busy",
+            Reason::Crashing => "crashing",
+            Reason::Expired => "expired",
+        }
+    }
+}
+
+/// Pursues a request to its final end.
+pub async fn pursue<D: Dialect>(shared: &Arc<Shared<D>>, call: Call<'_>) -> Final {
+    shared.with_budget(call.service, rf_traffic::RetryBudget::earn);
+    let crashes = shared.strikes.load().count(call.fingerprint);
+    if crashes >= MAX_CRASHES {
+        return Final::Refused(Reason::Crashing, call.deadline.since(shared.now()));
+    }
+    let (side, targets) = call.choose_side(shared);
+    let candidates: Vec<Candidate> = targets.iter().map(|t| t.candidate).collect();
+    let mut pursuit = Pursuit::new(call.route.repeat, call.route.attempts);
+    let mut is_urgent = false;
+    let mut rounds = 1;
+    loop {
+        let distance = call.distance(shared);
+        let now = shared.now();
+        let chosen = shared
+            .placement()
+            .choose(now, &candidates, pursuit.tried(), distance);
+        let Some(instance) = chosen else {
+            if rounds < ROUNDS && !candidates.is_empty() && pursuit.verdict() == Verdict::NotRun {
+                rounds += 1;
+                is_urgent = true;
+                pursuit.forget_tried();
+                continue;
+            }
+            return call.give_up(shared, pursuit, &candidates, None);
+        };
+        let Some(target) = targets.iter().find(|t| t.instance == instance) else {
+            return call.give_up(shared, pursuit, &candidates, None);
+        };
+        let end = call.offer(shared, target, is_urgent).await;
+        call.observe(shared, side, &end, now);
+        if let AttemptEnd::Answered(answer) = &end
+            && answer.status < 500
+        {
+            call.progress.set(true);
+            let AttemptEnd::Answered(answer) = end else {
+                unreachable!("the end was matched above");
+            };
+            return Final::Answer(answer);
+        }
+        call.report(shared, target, &end);
+        let kept = end_kind(&end);
+        let next = shared.with_budget(call.service, |b| pursuit.handle(instance, end, b));
+        call.progress.set(pursuit.verdict() != Verdict::NotRun);
+        if next == Next::GiveUp {
+            return call.give_up(shared, pursuit, &candidates, Some(kept));
+        }
+    }
+}
+
+/// The part of an end that the final answer depends on.
+fn end_kind(end: &AttemptEnd) -> EndKind {
+    match end {
+        AttemptEnd::Answered(_) => EndKind::Answered,
+        AttemptEnd::NotRun(rejection) => EndKind::NotRun(*rejection),
+        AttemptEnd::MayHaveRun(loss) => EndKind::MayHaveRun(*loss),
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum EndKind {
+    Answered,
+    NotRun(Rejection),
+    MayHaveRun(Loss),
+}
+
+impl Call<'_> {
+    /// Deals the request to the version in force or to the one that is tried.
+    fn choose_side<D>(&self, shared: &Shared<D>) -> (Option<(u64, Side)>, &[Target]) {
+        let Some(trial) = &self.servers.trial else {
+            return (None, &self.servers.targets);
+        };
+        let share = share_at(shared.now().since(trial.since), trial.duration);
+        let side = match trial.targets.is_empty() {
+            true => Side::Old,
+            false => shared.trials().deal(trial.order, share),
+        };
+        match side {
+            Side::Old => (Some((trial.order, side)), &self.servers.targets),
+            Side::New => (Some((trial.order, side)), &trial.targets),
+        }
+    }
+
+    fn observe<D>(
+        &self,
+        shared: &Shared<D>,
+        side: Option<(u64, Side)>,
+        end: &AttemptEnd,
+        sent: Millis,
+    ) {
+        let Some((order, side)) = side else {
+            return;
+        };
+        let is_failure = match end {
+            AttemptEnd::Answered(answer) => answer.status >= 500,
+            AttemptEnd::NotRun(_) => return,
+            AttemptEnd::MayHaveRun(Loss::Broken | Loss::Crashed | Loss::Late) => true,
+            AttemptEnd::MayHaveRun(_) => return,
+        };
+        let span = shared.now().since(sent);
+        let route = rf_base::ids::hash_key(self.route.name.as_bytes());
+        shared
+            .trials()
+            .observe(order, route, side, is_failure, span);
+    }
+
+    /// Returns what it costs to run the request in another availability zone, as time.
+    fn distance<D>(&self, shared: &Shared<D>) -> Millis {
+        let expected = shared.answer_bytes(&self.route.name);
+        let bytes = HEAD_BYTES + self.payload.body.len() as f64 + expected;
+        Millis((bytes / 1024.0 * DISTANCE_PER_KB) as u64)
+    }
+
+    /// Offers the request to one server.
+    async fn offer<D: Dialect>(
+        &self,
+        shared: &Arc<Shared<D>>,
+        target: &Target,
+        is_urgent: bool,
+    ) -> AttemptEnd {
+        let order = self.make_order(shared, target, is_urgent);
+        let mut offered = Offered {
+            shared,
+            instance: target.instance,
+            end: OfferEnd::Withdrawn,
+            report: None,
+        };
+        self.progress.set(true);
+        let (end, report) = match target.instance == shared.me {
+            true => (run_here(shared, &order).await, Some(shared.gate.load())),
+            false => relay::attempt(shared, target, order).await,
+        };
+        offered.end = grade(&end);
+        offered.report = report;
+        end
+    }
+
+    fn make_order<D>(
+        &self,
+        shared: &Shared<D>,
+        target: &Target,
+        is_urgent: bool,
+    ) -> Box<AttemptOrder> {
+        let now = shared.now();
+        let left = self.deadline.since(now);
+        let to_target = (self.start + self.route.target).since(now);
+        let usual = shared.placement().usual_time(&target.candidate);
+        let patience = match is_urgent {
+            true => Millis((left.since(usual).0 as f64 * LATE_PART) as u64),
+            false => to_target.since(usual),
+        };
+        Box::new(AttemptOrder {
+            key: AttemptKey {
+                id: shared.next_attempt(),
+                target: target.instance,
+                life: target.life,
+            },
+            terms: AttemptTerms {
+                repeat: self.route.repeat,
+                priority: self.route.priority,
+                target: to_target,
+                left,
+                patience,
+            },
+            service: self.service.clone(),
+            version: target.version.clone(),
+            table: self.table,
+            request: self.request.to_owned(),
+            fingerprint: self.fingerprint,
+            payload: self.payload.clone(),
+        })
+    }
+
+    fn report<D>(&self, shared: &Shared<D>, target: &Target, end: &AttemptEnd) {
+        let (verdict, reason) = describe(end);
+        shared.metrics.attempts.with_label_values(&[reason]).inc();
+        if matches!(end, AttemptEnd::NotRun(Rejection::Busy(_))) {
+            return;
+        }
+        info!(
+            event = "attempt.failed",
+            request = self.request,
+            route = self.route.name,
+            target = %target.instance,
+            verdict,
+            reason,
+            table = self.table.0,
+            after = shared.now().since(self.start).0,
+        );
+    }
+
+    fn give_up<D>(
+        &self,
+        shared: &Shared<D>,
+        mut pursuit: Pursuit,
+        candidates: &[Candidate],
+        last: Option<EndKind>,
+    ) -> Final {
+        if let Some(answer) = pursuit.take_failure() {
+            return Final::Answer(answer);
+        }
+        if pursuit.verdict() != Verdict::NotRun {
+            let loss = match last {
+                Some(EndKind::MayHaveRun(loss)) => loss,
+                _ => Loss::Broken,
+            };
+            return Final::Lost(loss);
+        }
+        let reason = match last {
+            _ if candidates.is_empty() => Reason::NoServer,
+            Some(EndKind::NotRun(Rejection::Expired)) => Reason::Expired,
+            _ => Reason::Busy,
+        };
+        Final::Refused(reason, self.retry_time(shared, candidates))
+    }
+
+    /// Returns when room is expected; callers are spread over the time in which a slot gets free.
+    fn retry_time<D>(&self, shared: &Shared<D>, candidates: &[Candidate]) -> Millis {
+        let now = shared.now();
+        let (room, usual) = {
+            let placement = shared.placement();
+            let room = placement.expected_room(now, candidates).unwrap_or_default();
+            let usual = candidates
+                .first()
+                .map_or(Millis(300), |c| placement.usual_time(c));
+            (room, usual)
+        };
+        let least = MIN_RETRY.max(room);
+        least + shared.jitter(usual.max(MIN_RETRY))
+    }
+}
+
+async fn run_here<D: Dialect>(shared: &Arc<Shared<D>>, order: &AttemptOrder) -> AttemptEnd {
+    let start = shared.now();
+    match shared.gate.enter(order).await {
+        Ok(pass) => {
+            let waited = shared.now().since(start);
+            run::run(shared, pass, order, waited).await
+        }
+        Err(rejection) => AttemptEnd::NotRun(rejection),
+    }
+}
+
+fn grade(end: &AttemptEnd) -> OfferEnd {
+    match end {
+        AttemptEnd::Answered(answer) if answer.status < 500 => OfferEnd::Good,
+        AttemptEnd::Answered(_) => OfferEnd::Bad,
+        AttemptEnd::NotRun(rejection) => match rejection {
+            Rejection::Busy(_) | Rejection::Expired => OfferEnd::Full,
+            Rejection::Shed => OfferEnd::Bad,
+            Rejection::NotHere | Rejection::ForeignLife => OfferEnd::Absent,
+            Rejection::Unconnected => OfferEnd::Unreachable,
+            Rejection::Revoked => OfferEnd::Withdrawn,
+        },
+        AttemptEnd::MayHaveRun(loss) => match loss {
+            Loss::Cancelled | Loss::Dropped => OfferEnd::Withdrawn,
+            Loss::Crashed | Loss::EarlierLife | Loss::Unreachable => OfferEnd::Unreachable,
+            Loss::Broken | Loss::Late => OfferEnd::Bad,
+        },
+    }
+}
+
+/// Returns the verdict of an end and its reason, for logs and metrics.
+pub fn describe(end: &AttemptEnd) -> (&'static str, &'static str) {
+    match end {
+        AttemptEnd::Answered(_) => (Verdict::Ran.as_str(), "answered"),
+        AttemptEnd::NotRun(rejection) => (Verdict::NotRun.as_str(), rejection.as_str()),
+        AttemptEnd::MayHaveRun(loss) => (Verdict::MayHaveRun.as_str(), loss.as_str()),
+    }
+}
+
+/// Counts a request as in flight at a server until it is dropped.
+struct Offered<'a, D> {
+    shared: &'a Shared<D>,
+    instance: InstanceId,
+    end: OfferEnd,
+    report: Option<LoadReport>,
+}
+
+impl<D> Drop for Offered<'_, D> {
+    fn drop(&mut self) {
+        let now = self.shared.now();
+        let mut placement = self.shared.placement();
+        placement.finish(now, self.instance, self.end, self.report);
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/shared.rs
@@ -0,0 +1,270 @@
+//! State that the tasks of the traffic half share.
+
+use crate::control::Event;
+use crate::gate::Gate;
+use crate::metrics::Metrics;
+use crate::view::View;
+use arc_swap::ArcSwap;
+use async_channel::Sender;
+use rf_base::{AttemptId, Clock, Incarnation, InstanceId, Millis, SeededRandom, ServiceName};
+use rf_config::ProxySettings;
+use rf_traffic::{Placement, RetryBudget, Shares, StrikeBook};
+use rf_transport::h1::{Pool, PoolSettings};
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// Time to open a connection to another proxy: several round trips between zones, and one repeat of
+/// a lost opening packet is not waited for.
+const RELAY_CONNECT: Millis = Millis(300);
+/// Time to open a connection to the backend server, which is on the same instance.
+const SERVER_CONNECT: Millis = Millis(250);
+/// Idle connections kept to one address.
+const IDLE_CONNECTIONS: usize = 64;
+/// Idle time after which a connection to another proxy is closed; below the listeners' own bound.
+const RELAY_IDLE: Millis = Millis(20_000);
+/// Idle time after which a connection to the backend server is not used again.
+const SERVER_IDLE: Millis = Millis(6000);
+
+/// Weight of the newest answer in the usual length of a route's answers, as a divisor.
+const SIZE_SMOOTHING: f64 = 16.0;
+
+/// State that the tasks of the traffic half share.
+#[derive(Debug)]
+pub struct Shared<D> {
+    /// Names on the wire.
+    pub dialect: D,
+    /// Settings of the process.
+    pub settings: ArcSwap<ProxySettings>,
+    /// The clock.
+    pub clock: Clock,
+    /// This instance.
+    pub me: InstanceId,
+    /// This life of the process.
+    pub life: Incarnation,
+    /// Where requests go.
+    pub view: ArcSwap<View>,
+    /// Requests that crash backend servers.
+    pub strikes: ArcSwap<StrikeBook>,
+    /// Gate of the backend server beside this proxy.
+    pub gate: Gate,
+    /// Connections to other proxies.
+    pub relays: Pool,
+    /// Connections to the backend server.
+    pub servers: Pool,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Bytes of requests and answers that are held.
+    pub held: HeldBytes,
+    placement: Mutex<Placement>,
+    shares: Mutex<Shares>,
+    budgets: Mutex<BTreeMap<ServiceName, RetryBudget>>,
+    trials: Mutex<crate::trials::TrialBook>,
+    sizes: Mutex<BTreeMap<String, f64>>,
+    random: Mutex<SeededRandom>,
+    events: Sender<Event>,
+    calls: AtomicUsize,
+    stopping: AtomicBool,
+}
+
+impl<D> Shared<D> {
+    /// Makes the state of a process.
+    pub fn new(
+        dialect: D,
+        settings: ProxySettings,
+        clock: Clock,
+        events: Sender<Event>,
+        mut random: SeededRandom,
+        life: Incarnation,
+    ) -> Shared<D> {
+        let me = InstanceId::of(&settings.instance);
+        let mut fork = || SeededRandom::new(random.bits());
+        Shared {
+            dialect,
+            me,
+            life,
+            gate: Gate::new(clock.clone(), me, life),
+            view: ArcSwap::default(),
+            strikes: ArcSwap::default(),
+            relays: Pool::new(PoolSettings {
+                connect: RELAY_CONNECT,
+                idle: IDLE_CONNECTIONS,
+                max_idle: RELAY_IDLE,
+            }),
+            servers: Pool::new(PoolSettings {
+                connect: SERVER_CONNECT,
+                idle: IDLE_CONNECTIONS,
+                max_idle: SERVER_IDLE,
+            }),
+            metrics: Metrics::new(),
+            held: HeldBytes::new(settings.limits.held_bytes()),
+            placement: Mutex::new(Placement::new(fork())),
+            shares: Mutex::new(Shares::new(fork())),
+            budgets: Mutex::default(),
+            trials: Mutex::default(),
+            sizes: Mutex::default(),
+            random: Mutex::new(fork()),
+            settings: ArcSwap::from_pointee(settings),
+            clock,
+            events,
+            calls: AtomicUsize::new(0),
+            stopping: AtomicBool::new(false),
+        }
+    }
+
+    /// Returns the current time.
+    pub fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    /// Returns the placement.
+    pub fn placement(&self) -> MutexGuard<'_, Placement> {
+        lock(&self.placement)
+    }
+
+    /// Returns the shares of routes.
+    pub fn shares(&self) -> MutexGuard<'_, Shares> {
+        lock(&self.shares)
+    }
+
+    /// Returns what was observed of version changes.
+    pub fn trials(&self) -> MutexGuard<'_, crate::trials::TrialBook> {
+        lock(&self.trials)
+    }
+
+    /// Runs `change` on the retry budget of a service.
+    pub fn with_budget<T>(
+        &self,
+        service: &ServiceName,
+        change: impl FnOnce(&mut RetryBudget) -> T,
+    ) -> T {
+        let settings = self.settings.load();
+        let (share, burst) = compute_budget(&settings, self.view.load().proxies);
+        let mut budgets = lock(&self.budgets);
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| RetryBudget::with_burst(share, burst));
+        budget.adjust(share, burst);
+        change(budget)
+    }
+
+    /// Returns the usual length of the answers on a route, in bytes.
+    pub fn answer_bytes(&self, route: &str) -> f64 {
+        lock(&self.sizes).get(route).copied().unwrap_or_default()
+    }
+
+    /// Takes in the length of an answer on a route.
+    pub fn observe_size(&self, route: &str, bytes: usize) {
+        let mut sizes = lock(&self.sizes);
+        match sizes.get_mut(route) {
+            Some(usual) => *usual += (bytes as f64 - *usual) / SIZE_SMOOTHING,
+            None => {
+                sizes.insert(route.to_owned(), bytes as f64);
+            }
+        }
+    }
+
+    /// Makes the id of a new attempt.
+    pub fn next_attempt(&self) -> AttemptId {
+        AttemptId(lock(&self.random).bits())
+    }
+
+    /// Returns a random span of at most `limit`.
+    pub fn jitter(&self, limit: Millis) -> Millis {
+        lock(&self.random).jitter(limit)
+    }
+
+    /// Tells the control half something; it is dropped where that is far behind.
+    pub fn tell(&self, event: Event) {
+        if self.events.try_send(event).is_err() {
+            let dropped = &self.metrics.dropped_lines;
+            dropped.with_label_values(&["control-queue"]).inc();
+        }
+    }
+
+    /// Counts a request of a caller until the guard is dropped.
+    pub fn enter_call(&self) -> CallGuard<'_> {
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        CallGuard(&self.calls)
+    }
+
+    /// Returns the requests that wait for an answer or run here.
+    pub fn busy(&self) -> usize {
+        self.calls.load(Ordering::Relaxed) + self.gate.busy()
+    }
+
+    /// Returns whether the process is about to end.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Marks the process as about to end.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+}
+
+/// Part of the operators' share of repeats that is used; the rest is for repeats that the callees
+/// of repeated requests cause.
+const BUDGET_PART: f64 = 0.4;
+
+/// Returns this proxy's part of the repeats that all proxies may make together: its share of the
+/// requests it takes in itself, and an equal part of the slack.
+fn compute_budget(settings: &ProxySettings, proxies: usize) -> (f64, f64) {
+    let bounds = &settings.bounds;
+    let slack = bounds.repeat_slack / proxies.max(1) as f64;
+    (bounds.repeat_share * BUDGET_PART, 1.0 + slack * BUDGET_PART)
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Counts a request of a caller until it is dropped.
+#[derive(Debug)]
+pub struct CallGuard<'a>(&'a AtomicUsize);
+
+impl Drop for CallGuard<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Budget of bytes of messages that are held in memory.
+#[derive(Debug)]
+pub struct HeldBytes {
+    limit: u64,
+    held: Arc<std::sync::atomic::AtomicU64>,
+}
+
+/// Bytes that are held until this is dropped.
+#[derive(Debug)]
+pub struct Hold {
+    held: Arc<std::sync::atomic::AtomicU64>,
+    bytes: u64,
+}
+
+impl HeldBytes {
+    fn new(limit: u64) -> HeldBytes {
+        HeldBytes {
+            limit,
+            held: Arc::default(),
+        }
+    }
+
+    /// Reserves `bytes`; `None` where too many are held.
+    pub fn take(&self, bytes: u64) -> Option<Hold> {
+        let before = self.held.fetch_add(bytes, Ordering::Relaxed);
+        let hold = Hold {
+            held: self.held.clone(),
+            bytes,
+        };
+        (before + bytes <= self.limit).then_some(hold)
+    }
+}
+
+impl Drop for Hold {
+    fn drop(&mut self) {
+        self.held.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -10,10 +10,12 @@
 pub mod judge;
 pub mod odds;
 pub mod plan;
+pub mod trial;
 pub mod writer;
 
 pub use change::{Change, ChangeError, apply_change};
 pub use conductor::{Conductor, View};
 pub use judge::{Judge, JudgeSettings, Opinion};
 pub use plan::{PlanSettings, Refusal, ServerView, compute_plan};
+pub use trial::{TrialOpinion, TrialStep};
 pub use writer::{Job, JobId, Writer, WriterCall, WriterEnd};
--- /dev/null
+++ b/crates/rollout/src/trial.rs
@@ -0,0 +1,158 @@
+//! Whether an unproven version is good, on the evidence of a few requests.
+//!
+//! The operators cap the share of requests that an unproven version may get, so the evidence is
+//! small. A trial has four phases, at times that are shares of the order's duration:
+//!
+//! 1. a trickle, which shows versions that fail at once or on one route;
+//! 2. a short probe that sends most requests, because some versions fail only under load;
+//! 3. a trickle again, which shows versions that turn bad late;
+//! 4. promotion: everything goes to the new version, and once the old one is idle the change is
+//!    recorded as completed, well before the deadline.
+//!
+//! The new version is compared with the old one on the same routes over the same time, so a failing
+//! dependency of both convicts neither.
+
+use rf_base::Millis;
+use rf_protocol::relay::{TrialCell, VersionCount};
+
+/// Share of requests in the trickle.
+const TRICKLE: f64 = 0.05;
+/// Share of requests in the probe.
+const PROBE: f64 = 0.6;
+/// Part of the requests of the whole duration that the probe may use.
+const PROBE_PART: f64 = 0.04;
+/// Part of the duration at which the probe begins.
+const PROBE_START: f64 = 0.42;
+/// Part of the duration at which a version without blame is promoted.
+const PROMOTION: f64 = 0.62;
+/// Part of the duration at which a version is taken back if it was not promoted.
+const LAST_CALL: f64 = 0.8;
+/// Time from promotion until the old version counts as idle.
+const SETTLING: Millis = Millis(2000);
+/// Answers of the new version without which it is not promoted.
+const MIN_ANSWERS: u64 = 12;
+/// Failures, or slow answers, without which nothing is bad.
+const MIN_BLAME: u64 = 4;
+/// Share of failures above which a version is bad.
+const BAD_SHARE: f64 = 0.12;
+/// Share of slow answers above which a version is bad.
+const SLOW_SHARE: f64 = 0.25;
+/// Factor by which the new version's share must exceed the old one's.
+const EXCESS: f64 = 3.0;
+
+/// What is thought of the new version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TrialOpinion {
+    /// There is too little evidence.
+    Unknown,
+    /// Nothing speaks against it.
+    Good,
+    /// It fails more often than the old version.
+    Failing,
+    /// It is slow more often than the old version.
+    Slow,
+}
+
+impl TrialOpinion {
+    /// Returns whether the version must get nothing more.
+    pub fn is_bad(self) -> bool {
+        matches!(self, TrialOpinion::Failing | TrialOpinion::Slow)
+    }
+}
+
+/// Next step of a version change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TrialStep {
+    /// Go on trying.
+    Wait,
+    /// Send everything to the new version.
+    Promote,
+    /// Record that the new version runs everything.
+    Complete,
+    /// Send nothing to the new version, and record that.
+    RollBack,
+}
+
+/// Returns the share of requests that the new version gets `age` after the order.
+pub fn share_at(age: Millis, duration: Millis) -> f64 {
+    let probe = probe_time(duration);
+    let start = part_of(duration, PROBE_START);
+    match age >= start && age < start + probe {
+        true => PROBE,
+        false => TRICKLE,
+    }
+}
+
+fn probe_time(duration: Millis) -> Millis {
+    part_of(duration, PROBE_PART / PROBE)
+}
+
+fn part_of(duration: Millis, part: f64) -> Millis {
+    Millis((duration.0 as f64 * part) as u64)
+}
+
+/// Judges the new version by the counts of every route.
+pub fn judge(cells: &[TrialCell]) -> TrialOpinion {
+    let mut old = VersionCount::default();
+    let mut new = VersionCount::default();
+    for cell in cells {
+        let opinion = compare(&cell.old, &cell.new);
+        if opinion.is_bad() {
+            return opinion;
+        }
+        add(&mut old, &cell.old);
+        add(&mut new, &cell.new);
+    }
+    match compare(&old, &new) {
+        TrialOpinion::Good if new.total < MIN_ANSWERS => TrialOpinion::Unknown,
+        opinion => opinion,
+    }
+}
+
+fn add(sum: &mut VersionCount, count: &VersionCount) {
+    sum.total += count.total;
+    sum.failed += count.failed;
+    sum.slow += count.slow;
+}
+
+fn compare(old: &VersionCount, new: &VersionCount) -> TrialOpinion {
+    let is_worse = |old_bad: u64, new_bad: u64, limit: f64| {
+        let share = new_bad as f64 / new.total.max(1) as f64;
+        let usual = old_bad as f64 / old.total.max(1) as f64;
+        new_bad >= MIN_BLAME && share > limit && share > EXCESS * usual
+    };
+    if is_worse(old.failed, new.failed, BAD_SHARE) {
+        TrialOpinion::Failing
+    } else if is_worse(old.slow, new.slow, SLOW_SHARE) {
+        TrialOpinion::Slow
+    } else {
+        TrialOpinion::Good
+    }
+}
+
+/// Decides the next step `age` after the order; `promoted` is the time since everything goes to the
+/// new version.
+pub fn next_step(
+    opinion: TrialOpinion,
+    age: Millis,
+    duration: Millis,
+    promoted: Option<Millis>,
+) -> TrialStep {
+    if opinion.is_bad() {
+        return TrialStep::RollBack;
+    }
+    if let Some(since) = promoted {
+        return match since >= SETTLING {
+            true => TrialStep::Complete,
+            false => TrialStep::Wait,
+        };
+    }
+    let is_due = age >= part_of(duration, PROMOTION);
+    let is_late = age >= part_of(duration, LAST_CALL);
+    match opinion {
+        TrialOpinion::Good if is_late => TrialStep::RollBack,
+        TrialOpinion::Good if is_due => TrialStep::Promote,
+        TrialOpinion::Unknown if is_late => TrialStep::RollBack,
+        _ => TrialStep::Wait,
+    }
+}
--- a/crates/rollout/src/writer.rs
+++ b/crates/rollout/src/writer.rs
@@ -9,7 +9,7 @@
 use crate::change::{Change, ChangeError, apply_change};
 use rf_base::{Counter, Millis, OperationId, SeededRandom};
 use rf_config::MeshConfig;
-use rf_platform::{Object, ObjectVersion, StoreError};
+use rf_store::{Object, ObjectVersion, StoreError};
 use std::collections::VecDeque;
 
 /// Pause after a failed call.
--- a/crates/rollout/tests/writer.rs
+++ b/crates/rollout/tests/writer.rs
@@ -3,11 +3,11 @@
 use proptest::prelude::*;
 use rf_base::{Epoch, Millis, MoveId, SeededRandom};
 use rf_config::{Intent, MeshConfig, MoveState, Outcome, Plan, Service, VersionSpec};
-use rf_platform::{Object, ObjectVersion, StoreError};
 use rf_rollout::change::Document;
 use rf_rollout::plan::{PlanContext, Servers, compute_basis};
 use rf_rollout::writer::Ended;
 use rf_rollout::{Change, PlanSettings, ServerView, Writer, WriterCall, WriterEnd, compute_plan};
+use rf_store::{Object, ObjectVersion, StoreError};
 use std::collections::BTreeMap;
 
 const START: Millis = Millis(1_000_000);
--- a/crates/rosemaryfork/src/cli.rs
+++ b/crates/rosemaryfork/src/cli.rs
@@ -26,6 +26,11 @@
         /// Settings file.
         settings: PathBuf,
     },
+    /// Run the proxy on the users' platform.
+    Proxy {
+        /// Settings file.
+        settings: PathBuf,
+    },
     /// Check a settings or mesh file.
     Check {
         /// File to check.
@@ -79,6 +84,7 @@
 fn parser() -> OptionParser<Command> {
     let commands = construct!([
         daemon(),
+        proxy(),
         check(),
         apply(),
         shift(),
@@ -146,8 +152,20 @@
         .command("daemon")
 }
 
+fn proxy() -> impl Parser<Command> {
+    let settings = long("settings")
+        .help("Settings file, JSON; where the platform puts it if not given")
+        .argument::<PathBuf>("FILE")
+        .fallback_with(|| Ok::<_, std::convert::Infallible>(rf_platform::boot::settings_path()));
+    construct!(Command::Proxy { settings })
+        .to_options()
+        .descr("Runs the proxy beside a backend server on the users' platform until SIGTERM.")
+        .command("proxy")
+}
+
 fn check() -> impl Parser<Command> {
-    let file = positional::<PathBuf>("FILE").help("Settings, or services and routes, as JSON");
+    let file = positional::<PathBuf>("FILE")
+        .help("Settings of a daemon or a proxy, or services and routes, as JSON");
     construct!(Command::Check { file })
         .to_options()
         .descr("Checks a settings or mesh file and prints every error with its place.")
--- a/crates/rosemaryfork/src/commands.rs
+++ b/crates/rosemaryfork/src/commands.rs
@@ -4,6 +4,7 @@
 use crate::client::{self, ClientError};
 use crate::exit::Exit;
 use crate::output;
+use crate::proxy;
 use async_channel::bounded;
 use async_std::task;
 use rf_base::{Clock, Counter, InstanceId, Millis, MoveId, PlanId, ServiceName, VersionName};
@@ -26,6 +27,7 @@
 pub fn run(command: Command) -> Exit {
     match command {
         Command::Daemon { settings } => run_daemon(&settings),
+        Command::Proxy { settings } => proxy::run(&settings),
         Command::Check { file } => check(&file),
         Command::Apply(c, base, file) => apply(&c, base, &file),
         Command::Retire(c, by, instance) => {
@@ -118,9 +120,11 @@
         Err(error) => return refuse(format!("{name}: {error}")),
     };
     let is_mesh = value.get("services").is_some() || value.get("routes").is_some();
-    let result = match is_mesh {
-        true => check_mesh(&text),
-        false => check_settings(&text),
+    let is_proxy = value.get("server").is_some() && value.get("bounds").is_some();
+    let result = match (is_mesh, is_proxy) {
+        (true, _) => check_mesh(&text),
+        (false, true) => proxy::read_settings(&text).map(|_| "proxy settings"),
+        (false, false) => check_settings(&text),
     };
     match result {
         Ok(kind) => {
--- a/crates/rosemaryfork/src/main.rs
+++ b/crates/rosemaryfork/src/main.rs
@@ -1,10 +1,12 @@
-//! The `rosemaryfork` program: the daemon, and the operators' commands that talk to one.
+//! The `rosemaryfork` program: the daemon, the proxy on the users' platform, and the
+//! operators' commands that talk to a daemon.
 
 mod cli;
 mod client;
 mod commands;
 mod exit;
 mod output;
+mod proxy;
 
 use std::process::ExitCode;
 
--- /dev/null
+++ b/crates/rosemaryfork/src/proxy.rs
@@ -0,0 +1,128 @@
+//! The `proxy` command: a proxy on the users' platform.
+
+use crate::exit::Exit;
+use async_channel::{Receiver, Sender, bounded};
+use async_std::future::timeout;
+use async_std::task;
+use rf_base::{Clock, Millis};
+use rf_config::{ProxySettings, from_json};
+use rf_platform::{ObjectClient, PlatformDialect, PlatformSource};
+use rf_proxy::Proxy;
+use rf_proxy::telemetry::{self, Logs};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use std::fs;
+use std::path::Path;
+use std::thread;
+use tracing::warn;
+
+/// Time between two looks at the settings file, which may change without a signal.
+const RELOAD_CHECK: Millis = Millis(2000);
+
+/// What the operating system asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Signal {
+    Stop,
+    Reload,
+}
+
+/// Reads and checks the settings in `file`.
+///
+/// # Errors
+///
+/// Returns every error of the file, one a line.
+pub fn read_settings(text: &str) -> Result<ProxySettings, String> {
+    let settings: ProxySettings = from_json(text).map_err(|e| e.to_string())?;
+    match settings.verify() {
+        errors if errors.is_empty() => Ok(settings),
+        errors => Err(errors.join("\n")),
+    }
+}
+
+/// Runs a proxy until it is told to stop.
+pub fn run(file: &Path) -> Exit {
+    let loaded = fs::read_to_string(file).map_err(|e| e.to_string());
+    let loaded = loaded.and_then(|text| read_settings(&text).map(|s| (text, s)));
+    let (text, settings) = match loaded {
+        Ok(loaded) => loaded,
+        Err(error) => return refuse(&format!("{}: {error}", file.display())),
+    };
+    let logs = match telemetry::start(&settings.log) {
+        Ok(logs) => logs,
+        Err(error) => return refuse(&error.to_string()),
+    };
+    let (sender, signals) = bounded(8);
+    if let Err(error) = watch_signals(sender) {
+        return refuse(&format!("cannot handle signals: {error}"));
+    }
+    let source = PlatformSource::new(ObjectClient::new(settings.store));
+    task::block_on(async {
+        let proxy = Proxy::start(settings, PlatformDialect, source, Clock::system());
+        match proxy.await {
+            Ok(proxy) => {
+                follow(&proxy, &signals, file, text, &logs).await;
+                proxy.stop().await;
+                Exit::Success
+            }
+            Err(error) => refuse(&error.to_string()),
+        }
+    })
+}
+
+fn refuse(message: &str) -> Exit {
+    eprintln!("error: {message}");
+    Exit::Refused
+}
+
+fn watch_signals(sender: Sender<Signal>) -> std::io::Result<()> {
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
+    let builder = thread::Builder::new().name("signals".to_owned());
+    builder.spawn(move || {
+        for number in signals.forever() {
+            let signal = match number {
+                SIGHUP => Signal::Reload,
+                _ => Signal::Stop,
+            };
+            // A full channel holds a signal that leads to the same.
+            sender.try_send(signal).ok();
+        }
+    })?;
+    Ok(())
+}
+
+/// Follows signals and the settings file until the process is to stop.
+async fn follow(
+    proxy: &Proxy<PlatformDialect>,
+    signals: &Receiver<Signal>,
+    file: &Path,
+    mut text: String,
+    logs: &Logs,
+) {
+    loop {
+        let signal = timeout(RELOAD_CHECK.duration(), signals.recv()).await;
+        proxy.count_dropped(logs.take_dropped());
+        if matches!(signal, Ok(Ok(Signal::Stop) | Err(_))) {
+            return;
+        }
+        reload(proxy, file, &mut text);
+    }
+}
+
+/// Takes a changed file in; one that cannot be used leaves the last one in force.
+fn reload(proxy: &Proxy<PlatformDialect>, file: &Path, text: &mut String) {
+    let read = match fs::read_to_string(file) {
+        Ok(read) => read,
+        Err(error) => {
+            warn!(event = "settings.unreadable", %error);
+            return;
+        }
+    };
+    if read == *text {
+        return;
+    }
+    match read_settings(&read) {
+        Ok(settings) => proxy.reload(settings),
+        Err(error) => warn!(event = "settings.refused", %error),
+    }
+    *text = read;
+}
--- a/crates/platform/tests/lease.rs
+++ b/crates/store/tests/lease.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 use rf_base::{Epoch, Incarnation, InstanceId, Millis, SeededRandom};
-use rf_platform::{Lease, LeaseCall, LeaseSettings, Object, ObjectVersion, RateBudget, StoreError};
+use rf_store::{Lease, LeaseCall, LeaseSettings, Object, ObjectVersion, RateBudget, StoreError};
 
 /// A fake platform with one object.
 #[derive(Default)]
--- /dev/null
+++ b/crates/traffic/src/admission.rs
@@ -0,0 +1,190 @@
+//! Who gets the next slot of one backend server.
+//!
+//! The slots are a hard limit, because a backend server that is sent more may never answer. A
+//! request that finds none free says how long it is worth waiting; it is refused at once where the
+//! usual time of runs says that its turn comes later, and told when room is expected.
+//!
+//! Load patterns this answers:
+//!
+//! - Lasting overload: requests that can still be answered within their target go before those
+//!   that cannot, so a queue that has grown does not make every later answer late as well.
+//! - A burst on one class: the more urgent class overtakes in the queue and never waits behind it.
+//! - Calls of running requests: they come with the rank of their route, and a refused one wastes
+//!   its parent's slot, so their patience is set by their sender and not cut here.
+//!
+//! Invariants: `running` exceeds `slots` only after the slots were reduced, and no request waits
+//! while a slot is free.
+
+use rf_base::Millis;
+use std::collections::BTreeMap;
+
+/// Weight of the newest run in the usual time, as a divisor.
+const SMOOTHING: f64 = 16.0;
+/// Usual time of a run before one has ended.
+const FIRST_GUESS: f64 = 60.0;
+
+/// What a request asks of the queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Wish {
+    /// Rank; 0 goes first.
+    pub priority: u8,
+    /// Time by which an answer is worth most.
+    pub target: Millis,
+    /// Time after which no slot is wanted any more.
+    pub expires: Millis,
+}
+
+/// Place of a waiting request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Place(u64);
+
+/// Answer to a request that wants a slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Entry {
+    /// It has one.
+    Run,
+    /// It waits.
+    Wait(Place),
+    /// It is refused; room is expected after this time.
+    Refuse(Millis),
+}
+
+/// Requests whose wait is over.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Wakeups {
+    /// They have a slot now.
+    pub granted: Vec<Place>,
+    /// Their time passed.
+    pub expired: Vec<Place>,
+}
+
+/// State of the queue.
+#[derive(Clone, Debug)]
+pub struct Queue {
+    slots: u32,
+    running: u32,
+    waiting: BTreeMap<Place, Wish>,
+    next: u64,
+    usual: f64,
+}
+
+impl Queue {
+    /// Makes an empty queue before `slots` slots.
+    pub fn new(slots: u32) -> Queue {
+        Queue {
+            slots,
+            running: 0,
+            waiting: BTreeMap::new(),
+            next: 0,
+            usual: FIRST_GUESS,
+        }
+    }
+
+    /// Changes the number of slots; running requests are not disturbed.
+    pub fn resize(&mut self, now: Millis, slots: u32) -> Wakeups {
+        self.slots = slots;
+        self.grant(now)
+    }
+
+    /// Asks for a slot, waiting up to `patience` for it.
+    pub fn enter(&mut self, now: Millis, wish: Wish, patience: Millis) -> Entry {
+        if self.running < self.slots {
+            self.running += 1;
+            return Entry::Run;
+        }
+        let wait = self.expected_wait(now, &wish);
+        let is_hopeless = now + wait >= wish.expires;
+        if self.slots == 0 || wait > patience || is_hopeless {
+            return Entry::Refuse(self.expected_room());
+        }
+        self.next += 1;
+        let place = Place(self.next);
+        self.waiting.insert(place, wish);
+        Entry::Wait(place)
+    }
+
+    /// Gives a slot back after a run of `span`; a run that says nothing about the backend server's
+    /// speed has none.
+    pub fn leave(&mut self, now: Millis, span: Option<Millis>) -> Wakeups {
+        debug_assert!(self.running > 0);
+        self.running = self.running.saturating_sub(1);
+        if let Some(span) = span {
+            self.usual += (span.0 as f64 - self.usual) / SMOOTHING;
+        }
+        self.grant(now)
+    }
+
+    /// Gives a waiting request up; returns whether it still waited.
+    pub fn cancel(&mut self, place: Place) -> bool {
+        self.waiting.remove(&place).is_some()
+    }
+
+    /// Gives every waiting request up.
+    pub fn clear(&mut self) -> Vec<Place> {
+        std::mem::take(&mut self.waiting).into_keys().collect()
+    }
+
+    /// Returns the number of running requests.
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Returns the number of waiting requests.
+    pub fn waiting(&self) -> u32 {
+        self.waiting.len() as u32
+    }
+
+    /// Returns the number of slots.
+    pub fn slots(&self) -> u32 {
+        self.slots
+    }
+
+    /// Returns the usual time of a run.
+    pub fn usual(&self) -> Millis {
+        Millis(self.usual as u64)
+    }
+
+    /// Time between two releases of a slot while all are taken.
+    fn release_interval(&self) -> f64 {
+        self.usual / f64::from(self.slots.max(1))
+    }
+
+    fn expected_wait(&self, now: Millis, wish: &Wish) -> Millis {
+        let rank = self.rank(now, wish);
+        let ahead = self.waiting.values().filter(|w| self.rank(now, w) <= rank);
+        let excess = self.running.saturating_sub(self.slots) as usize;
+        let turns = (ahead.count() + excess + 1) as f64;
+        Millis((turns * self.release_interval()) as u64)
+    }
+
+    fn expected_room(&self) -> Millis {
+        let turns = (self.waiting.len() + 1) as f64;
+        Millis((turns * self.release_interval()).max(1.0) as u64)
+    }
+
+    /// Order among waiting requests; the least goes first.
+    fn rank(&self, now: Millis, wish: &Wish) -> (bool, u8, Millis) {
+        let is_late = now + self.usual() > wish.target;
+        (is_late, wish.priority, wish.target)
+    }
+
+    fn grant(&mut self, now: Millis) -> Wakeups {
+        let mut wakeups = Wakeups::default();
+        let expired = self.waiting.extract_if(.., |_, w| w.expires <= now);
+        wakeups.expired.extend(expired.map(|(place, _)| place));
+        while self.running < self.slots {
+            let first = self
+                .waiting
+                .iter()
+                .min_by_key(|(place, wish)| (self.rank(now, wish), **place));
+            let Some(place) = first.map(|(place, _)| *place) else {
+                break;
+            };
+            self.waiting.remove(&place);
+            self.running += 1;
+            wakeups.granted.push(place);
+        }
+        debug_assert!(self.waiting.is_empty() || self.running >= self.slots);
+        wakeups
+    }
+}
--- a/crates/traffic/src/ledger.rs
+++ b/crates/traffic/src/ledger.rs
@@ -14,6 +14,7 @@
 
 use rf_base::{AttemptId, Incarnation, InstanceId, Millis};
 use rf_protocol::AttemptHeader;
+use rf_protocol::relay::AttemptEnd;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
@@ -29,6 +30,15 @@
     }
 }
 
+impl Weigh for AttemptEnd {
+    fn bytes(&self) -> usize {
+        match self {
+            AttemptEnd::Answered(answer) => answer.body.len(),
+            _ => 0,
+        }
+    }
+}
+
 /// Settings of a [`Ledger`].
 #[derive(Clone, Debug)]
 pub struct LedgerSettings {
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -4,12 +4,17 @@
 //! what is known about its attempts ([`ledger`], [`keys`]), whether it is tried again ([`retry`]),
 //! and what its caller is told ([`error`]).
 
+pub mod admission;
 pub mod balancer;
 pub mod error;
 pub mod keys;
 pub mod ledger;
 pub mod limiter;
+pub mod placement;
+pub mod pursuit;
+pub mod resident;
 pub mod retry;
+pub mod shares;
 pub mod strikes;
 pub mod table;
 
@@ -18,6 +23,10 @@
 pub use keys::{Claim, KeySettings, KeyTable, Settlement};
 pub use ledger::{Begin, Knowledge, Ledger, LedgerSettings, Weigh};
 pub use limiter::{Admission, Limiter, Ticket};
+pub use placement::{Candidate, OfferEnd, Placement};
+pub use pursuit::{Next, Pursuit};
+pub use resident::{Announcement, Residence, Resident};
 pub use retry::{CallProgress, NextAttempt, RetryBudget};
+pub use shares::Shares;
 pub use strikes::{StrikeBook, Suspicion};
 pub use table::{RoutingTable, TableContext};
--- /dev/null
+++ b/crates/traffic/src/placement.rs
@@ -0,0 +1,258 @@
+//! Which backend server a request is offered to.
+//!
+//! Each candidate is scored by the time until its answer is expected: the wait for a slot, from the
+//! load that came back with answers and what was sent since, plus the usual time of a run there,
+//! plus what it costs to leave the availability zone. The least score wins.
+//!
+//! Load patterns this answers:
+//!
+//! - Servers of unequal speed: the faster ones fill first and hold more, since the usual time is
+//!   measured at each server.
+//! - Several daemons that choose at once: each adds a little noise to its scores, and a gate that is
+//!   full refuses in one round trip with a fresh report, so that the next choice is better informed.
+//! - A server that nobody used for a while: its report fades, so it is tried again.
+//! - A server that fails part of its requests: the failures weigh on its score and do not exclude
+//!   it, so that the load never falls on a few servers only.
+//! - A server that cannot be reached: it is left out for a time that doubles, unless every server
+//!   is in that state.
+
+use rf_base::{InstanceId, Millis, SeededRandom};
+use rf_protocol::relay::LoadReport;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Time after which a load report counts half.
+const FADE: f64 = 500.0;
+/// Usual time of a run where nothing is known yet.
+const FIRST_GUESS: f64 = 60.0;
+/// Weight of the newest outcome in the share of failures.
+const FAILURE_WEIGHT: f64 = 0.1;
+/// Weight of failures on the score: a server that always fails looks this many times slower.
+const FAILURE_COST: f64 = 8.0;
+/// Factor on the usual time of a server that has not been measured: it may be in its cold start.
+const UNMEASURED_FACTOR: f64 = 1.3;
+/// Greatest noise, as a share of the score.
+const NOISE: f64 = 0.1;
+/// First time for which an unreachable server is left out.
+const EJECTION: Millis = Millis(300);
+/// Longest time for which it is left out.
+const MAX_EJECTION: Millis = Millis(5000);
+
+/// A backend server that may be chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Candidate {
+    /// Instance.
+    pub instance: InstanceId,
+    /// Requests it can run at a time.
+    pub slots: u32,
+    /// Whether it is in this daemon's availability zone.
+    pub is_near: bool,
+}
+
+/// How an offer ended, as far as the server's health goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OfferEnd {
+    /// The server answered well.
+    Good,
+    /// The server answered with a failure, broke off, or took too long.
+    Bad,
+    /// The gate was full.
+    Full,
+    /// The server is not there any more.
+    Absent,
+    /// The server or its daemon could not be reached.
+    Unreachable,
+    /// The offer was withdrawn; nothing was learnt.
+    Withdrawn,
+}
+
+#[derive(Clone, Debug, Default)]
+struct ServerLoad {
+    in_flight: u32,
+    report: LoadReport,
+    reported_at: Millis,
+    sent_since: u32,
+    failures: f64,
+    ejections: u32,
+    ejected_until: Millis,
+}
+
+/// What this daemon knows of every server's load.
+#[derive(Clone, Debug)]
+pub struct Placement {
+    loads: BTreeMap<InstanceId, ServerLoad>,
+    random: SeededRandom,
+}
+
+impl Placement {
+    /// Makes a placement that knows nothing yet.
+    pub fn new(random: SeededRandom) -> Placement {
+        Placement {
+            loads: BTreeMap::new(),
+            random,
+        }
+    }
+
+    /// Chooses a server and counts the request as in flight there.
+    ///
+    /// `distance` is what it costs to leave the zone, as time. `None` means that every candidate
+    /// was tried already.
+    pub fn choose(
+        &mut self,
+        now: Millis,
+        candidates: &[Candidate],
+        tried: &BTreeSet<InstanceId>,
+        distance: Millis,
+    ) -> Option<InstanceId> {
+        let fresh: Vec<&Candidate> = candidates
+            .iter()
+            .filter(|c| !tried.contains(&c.instance))
+            .collect();
+        let usable: Vec<&Candidate> = fresh
+            .iter()
+            .copied()
+            .filter(|c| !self.is_ejected(now, c.instance))
+            .collect();
+        let usable = if usable.is_empty() { fresh } else { usable };
+        let common = self.common_time(candidates);
+        let mut best: Option<(f64, InstanceId)> = None;
+        for candidate in usable {
+            let noise = 1.0 + NOISE * self.random.fraction();
+            let score = self.score(now, candidate, common, distance) * noise;
+            if best.is_none_or(|(least, _)| score < least) {
+                best = Some((score, candidate.instance));
+            }
+        }
+        let (_, instance) = best?;
+        let load = self.loads.entry(instance).or_default();
+        load.in_flight += 1;
+        load.sent_since += 1;
+        Some(instance)
+    }
+
+    /// Returns the shortest time until one of the candidates is expected to have a slot free.
+    pub fn expected_room(&self, now: Millis, candidates: &[Candidate]) -> Option<Millis> {
+        let common = self.common_time(candidates);
+        let waits = candidates
+            .iter()
+            .filter(|c| !self.is_ejected(now, c.instance))
+            .map(|c| self.expected_wait(now, c, self.usual(c, common)));
+        waits.min_by(f64::total_cmp).map(|w| Millis(w as u64))
+    }
+
+    /// Returns the usual time of a run at a candidate.
+    pub fn usual_time(&self, candidate: &Candidate) -> Millis {
+        Millis(self.usual(candidate, FIRST_GUESS) as u64)
+    }
+
+    fn score(&self, now: Millis, candidate: &Candidate, common: f64, distance: Millis) -> f64 {
+        let usual = self.usual(candidate, common);
+        let wait = self.expected_wait(now, candidate, usual);
+        let failures = self
+            .loads
+            .get(&candidate.instance)
+            .map_or(0.0, |l| l.failures);
+        let far = if candidate.is_near { 0 } else { distance.0 };
+        (wait + usual) * (1.0 + FAILURE_COST * failures) + far as f64
+    }
+
+    fn usual(&self, candidate: &Candidate, common: f64) -> f64 {
+        match self.loads.get(&candidate.instance) {
+            Some(load) if load.report.usual > Millis::ZERO => load.report.usual.0 as f64,
+            _ => common * UNMEASURED_FACTOR,
+        }
+    }
+
+    /// Mean usual time over those candidates that have been measured.
+    fn common_time(&self, candidates: &[Candidate]) -> f64 {
+        let known: Vec<u64> = candidates
+            .iter()
+            .filter_map(|c| self.loads.get(&c.instance))
+            .map(|l| l.report.usual.0)
+            .filter(|t| *t > 0)
+            .collect();
+        match known.len() {
+            0 => FIRST_GUESS,
+            n => known.iter().sum::<u64>() as f64 / n as f64,
+        }
+    }
+
+    fn expected_wait(&self, now: Millis, candidate: &Candidate, usual: f64) -> f64 {
+        let slots = f64::from(candidate.slots.max(1));
+        let ahead = self.busy(now, candidate.instance) + 1.0 - slots;
+        ahead.max(0.0) * usual / slots
+    }
+
+    /// Requests that run or wait at a server, as far as known.
+    fn busy(&self, now: Millis, instance: InstanceId) -> f64 {
+        let Some(load) = self.loads.get(&instance) else {
+            return 0.0;
+        };
+        let age = now.since(load.reported_at).0 as f64;
+        let fade = 0.5f64.powf(age / FADE);
+        let reported = f64::from(load.report.running + load.report.waiting) * fade;
+        let known = reported + f64::from(load.sent_since.min(load.in_flight));
+        known.max(f64::from(load.in_flight))
+    }
+
+    fn is_ejected(&self, now: Millis, instance: InstanceId) -> bool {
+        self.loads
+            .get(&instance)
+            .is_some_and(|l| now < l.ejected_until)
+    }
+
+    /// Takes in the end of an offer that [`Placement::choose`] made, with the load reported then.
+    pub fn finish(
+        &mut self,
+        now: Millis,
+        instance: InstanceId,
+        end: OfferEnd,
+        report: Option<LoadReport>,
+    ) {
+        let Some(load) = self.loads.get_mut(&instance) else {
+            return;
+        };
+        debug_assert!(load.in_flight > 0);
+        load.in_flight = load.in_flight.saturating_sub(1);
+        if let Some(report) = report {
+            load.report = report;
+            load.reported_at = now;
+            load.sent_since = 0;
+        }
+        match end {
+            OfferEnd::Good => load.recover(0.0),
+            OfferEnd::Bad => load.recover(1.0),
+            OfferEnd::Absent | OfferEnd::Unreachable => load.eject(now),
+            OfferEnd::Full | OfferEnd::Withdrawn => {}
+        }
+    }
+
+    /// Forgets servers that are not in `known`.
+    pub fn retain(&mut self, known: &BTreeSet<InstanceId>) {
+        self.loads
+            .retain(|id, l| l.in_flight > 0 || known.contains(id));
+    }
+
+    /// Lets a server be chosen again at once, as it has described itself anew.
+    pub fn readmit(&mut self, instance: InstanceId) {
+        if let Some(load) = self.loads.get_mut(&instance) {
+            load.ejections = 0;
+            load.ejected_until = Millis::ZERO;
+        }
+    }
+}
+
+impl ServerLoad {
+    fn recover(&mut self, failure: f64) {
+        self.failures += (failure - self.failures) * FAILURE_WEIGHT;
+        self.ejections = 0;
+        self.ejected_until = Millis::ZERO;
+    }
+
+    fn eject(&mut self, now: Millis) {
+        let factor = 1u64 << self.ejections.min(10);
+        let span = Millis((EJECTION.0 * factor).min(MAX_EJECTION.0));
+        self.ejections += 1;
+        self.ejected_until = now + span;
+        self.report = LoadReport::default();
+    }
+}
--- a/crates/traffic/src/retry.rs
+++ b/crates/traffic/src/retry.rs
@@ -18,21 +18,35 @@
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     share: f64,
+    burst: f64,
     tokens: f64,
 }
 
 impl RetryBudget {
     /// Makes a budget of `percent` retries per hundred calls.
     pub fn new(percent: u32) -> RetryBudget {
+        RetryBudget::with_burst(f64::from(percent) / 100.0, BURST)
+    }
+
+    /// Makes a budget of `share` retries per call, of which `burst` may be saved up.
+    pub fn with_burst(share: f64, burst: f64) -> RetryBudget {
         RetryBudget {
-            share: f64::from(percent) / 100.0,
-            tokens: BURST,
+            share,
+            burst,
+            tokens: burst,
         }
     }
 
+    /// Changes the terms; what was saved up beyond the new burst is lost.
+    pub fn adjust(&mut self, share: f64, burst: f64) {
+        self.share = share;
+        self.burst = burst;
+        self.tokens = self.tokens.min(burst);
+    }
+
     /// Counts a call, which earns its share of a retry.
     pub fn earn(&mut self) {
-        self.tokens = (self.tokens + self.share).min(BURST);
+        self.tokens = (self.tokens + self.share).min(self.burst);
     }
 
     /// Takes one retry from the budget; returns whether there was one.
--- a/crates/traffic/src/strikes.rs
+++ b/crates/traffic/src/strikes.rs
@@ -46,13 +46,18 @@
 
     /// Returns how suspicious a request is.
     pub fn suspicion(&self, fingerprint: u64) -> Suspicion {
-        match self.strikes.get(&fingerprint).map_or(0, BTreeMap::len) {
+        match self.count(fingerprint) {
             0 => Suspicion::None,
             n if n < LIMIT => Suspicion::Suspect,
             _ => Suspicion::Guilty,
         }
     }
 
+    /// Returns the number of instances whose backend server died while the request ran.
+    pub fn count(&self, fingerprint: u64) -> usize {
+        self.strikes.get(&fingerprint).map_or(0, BTreeMap::len)
+    }
+
     /// Returns every strike, to tell others.
     pub fn all(&self) -> Vec<Strike> {
         let each = |(fingerprint, by_instance): (&u64, &BTreeMap<InstanceId, Millis>)| {
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -4,6 +4,7 @@
 //! off, every wait has a bound, and an idle connection with bytes on it is never used again.
 
 pub mod client;
+pub mod h1;
 pub mod server;
 pub mod timer;
 
