Refuse what cannot end before the process, and put calls of running requests first

A proxy that joined was never tried by others, since an unmeasured server was taken for slow. A refused call wasted the run that made it.

Change: Shared::ends_before and Gate::stop; first sample sets the usual time; unmeasured servers look a little fast; nested requests rank first and keep half of the retry budget; only requests of clients earn budget.

--- a/crates/proxy/src/control/machine.rs
+++ b/crates/proxy/src/control/machine.rs
@@ -277,11 +277,13 @@
             return;
         }
         let before = self.table.version.0;
+        let routes: usize = table.hosts.values().map(Vec::len).sum();
         info!(
             event = "table.adopted",
             version = table.version.0,
             before,
-            from
+            from,
+            routes
         );
         self.table = Arc::new(table);
         self.membership.kick(now);
--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -54,6 +54,9 @@
     /// Reads what a caller says.
     fn read_caller(&self, headers: &Headers) -> CallerTags;
 
+    /// Returns the id of the request whose run made this one, where the id says so.
+    fn parent_of<'a>(&self, request: &'a str) -> Option<&'a str>;
+
     /// Marks a request with the service at whose instance it began.
     fn mark_origin(&self, headers: &mut Headers, service: &ServiceName);
 
--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -45,7 +45,10 @@
     ledger: Ledger<AttemptEnd>,
     waiters: BTreeMap<Place, Sender<Result<()>>>,
     pending: BTreeSet<AttemptId>,
+    /// Requests that run, by the id that their callers gave them.
+    requests: BTreeMap<String, u32>,
     resident: Option<Resident>,
+    end: Option<Millis>,
 }
 
 /// A slot at the backend server, held by one attempt.
@@ -53,6 +56,7 @@
 pub struct Pass {
     gate: Gate,
     key: AttemptKey,
+    request: String,
     repeat: Repeat,
     resident: Resident,
     start: Millis,
@@ -86,7 +90,9 @@
             ledger: Ledger::new(settings),
             waiters: BTreeMap::new(),
             pending: BTreeSet::new(),
+            requests: BTreeMap::new(),
             resident: None,
+            end: None,
         };
         Gate {
             clock,
@@ -114,6 +120,11 @@
         }
     }
 
+    /// Lets nothing through from now on that could still run at `end`.
+    pub fn stop(&self, end: Millis) {
+        self.lock().end = Some(end);
+    }
+
     /// Returns the load of the backend server.
     pub fn load(&self) -> LoadReport {
         let inner = self.lock();
@@ -125,6 +136,11 @@
         }
     }
 
+    /// Returns whether the backend server runs a request of this id.
+    pub fn is_running(&self, request: &str) -> bool {
+        self.lock().requests.contains_key(request)
+    }
+
     /// Returns the number of attempts that wait or run.
     pub fn busy(&self) -> usize {
         let inner = self.lock();
@@ -172,7 +188,9 @@
             .resident
             .as_ref()
             .is_some_and(|r| r.service == order.service && r.version == order.version);
-        match is_here {
+        let latest = self.clock.now() + order.terms.left;
+        let outlasts = inner.end.is_some_and(|end| latest > end);
+        match is_here && !outlasts {
             true => Ok(()),
             false => Err(Rejection::NotHere),
         }
@@ -196,15 +214,20 @@
         let now = self.clock.now();
         let begun = inner.ledger.begin(now, &self.header(&order.key));
         match (begun, &inner.resident) {
-            (Begin::Run, Some(resident)) => Ok(Pass {
-                gate: self.clone(),
-                key: order.key,
-                repeat: order.terms.repeat,
-                resident: resident.clone(),
-                start: now,
-                record: Record::Kept(AttemptEnd::MayHaveRun(Loss::Cancelled)),
-                is_measured: false,
-            }),
+            (Begin::Run, Some(resident)) => {
+                let resident = resident.clone();
+                *inner.requests.entry(order.request.clone()).or_default() += 1;
+                Ok(Pass {
+                    gate: self.clone(),
+                    key: order.key,
+                    request: order.request.clone(),
+                    repeat: order.terms.repeat,
+                    resident,
+                    start: now,
+                    record: Record::Kept(AttemptEnd::MayHaveRun(Loss::Cancelled)),
+                    is_measured: false,
+                })
+            }
             (begun, _) => {
                 if begun == Begin::Run {
                     inner.ledger.revoke(order.key.id);
@@ -253,6 +276,15 @@
 }
 
 impl Inner {
+    fn forget_request(&mut self, request: &str) {
+        if let Some(count) = self.requests.get_mut(request) {
+            *count -= 1;
+            if *count == 0 {
+                self.requests.remove(request);
+            }
+        }
+    }
+
     fn release(&mut self, now: Millis, span: Option<Millis>) {
         let wakeups = self.queue.leave(now, span);
         self.wake(wakeups);
@@ -344,6 +376,7 @@
         let now = self.gate.clock.now();
         let span = now.since(self.start);
         let mut inner = self.gate.lock();
+        inner.forget_request(&self.request);
         match std::mem::replace(&mut self.record, Record::Ran) {
             Record::NotRun => inner.ledger.revoke(self.key.id),
             Record::Ran => inner.ledger.finish(now, self.key.id, None),
--- a/crates/proxy/src/ingress.rs
+++ b/crates/proxy/src/ingress.rs
@@ -27,6 +27,8 @@
 const IDLE_GRACE: Millis = Millis(1000);
 /// Pause that a caller is told while no route table is known.
 const UNKNOWN_RETRY: Millis = Millis(300);
+/// Pause that a caller is told where the process ends before its request could.
+const STOPPING_RETRY: Millis = Millis(100);
 /// Pause that a caller is told where too much is held in memory.
 const MEMORY_RETRY: Millis = Millis(200);
 
@@ -67,6 +69,8 @@
     body: Vec<u8>,
     tags: CallerTags,
     start: Millis,
+    /// Whether the backend server beside this proxy sent it, while it runs another request.
+    is_nested: bool,
     _hold: Hold,
 }
 
@@ -140,11 +144,14 @@
     let body = connection.read_body(framing, &limits).await;
     let body = body.map_err(|e| Refusal::status(status_of(&e)))?;
     let tags = shared.dialect.read_caller(&head.headers);
+    let parent = shared.dialect.parent_of(&tags.request);
+    let is_nested = parent.is_some_and(|id| shared.gate.is_running(id));
     Ok(Received {
         head,
         body,
         tags,
         start,
+        is_nested,
         _hold: hold,
     })
 }
@@ -225,6 +232,7 @@
     };
     let request = received.tags.request.clone();
     let start = received.start;
+    let is_nested = received.is_nested;
     let span = debug_span!("request", request, route = route.name);
     let ended = follow(shared, &view, route, &service, received);
     let (response, verdict, reason) = ended.instrument(span).await;
@@ -247,6 +255,7 @@
             status,
             verdict = verdict.as_str(),
             reason,
+            is_nested,
             table = view.table.version.0,
             took = took.0,
         );
@@ -266,6 +275,13 @@
     let start = received.start;
     let left = received.tags.left.unwrap_or(route.timeout);
     let deadline = start + left.min(route.timeout);
+    if shared.ends_before(deadline + FINAL_GRACE) {
+        return (
+            unavailable(shared, STOPPING_RETRY),
+            Verdict::NotRun,
+            "stopping",
+        );
+    }
     let progress = Progress::default();
     let fingerprint = compute_fingerprint(shared, &received);
     let request = received.tags.request.clone();
@@ -278,6 +294,7 @@
         fingerprint,
         start,
         deadline,
+        is_nested: received.is_nested,
         payload: make_payload(shared, received),
         progress: &progress,
     };
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -31,7 +31,7 @@
 /// Time without work after which a stop is complete.
 const STOP_QUIET: Millis = Millis(300);
 /// Time kept back before the process would be killed.
-const STOP_MARGIN: Millis = Millis(400);
+const STOP_MARGIN: Millis = Millis(800);
 /// Time between two looks at the work that is left.
 const STOP_CHECK: Millis = Millis(50);
 
@@ -132,10 +132,10 @@
         let start = self.shared.now();
         let busy = self.shared.busy();
         info!(event = "process.stopping", busy);
-        self.shared.stop();
-        self.events.send(Event::Stop).await.ok();
         let grace = self.shared.settings.load().bounds.grace;
         let last = start + grace.since(STOP_MARGIN);
+        self.shared.stop(last);
+        self.events.send(Event::Stop).await.ok();
         let mut quiet_since = None;
         loop {
             let now = self.shared.now();
--- a/crates/proxy/src/pursue.rs
+++ b/crates/proxy/src/pursue.rs
@@ -13,7 +13,7 @@
     ServerAnswer,
 };
 use rf_rollout::trial::share_at;
-use rf_traffic::{Candidate, Next, OfferEnd, Pursuit};
+use rf_traffic::{Candidate, Next, OfferEnd, Pursuit, RetryBudget};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use tracing::info;
@@ -29,6 +29,9 @@
 const HEAD_BYTES: f64 = 700.0;
 /// Shortest pause that a refused caller is told.
 const MIN_RETRY: Millis = Millis(50);
+/// Part of the retry budget that is kept for calls of running requests. A caller that is refused
+/// comes back by itself; a call that fails wastes the run that made it.
+const NESTED_RESERVE: f64 = 0.5;
 /// Rounds of offers to all servers.
 const ROUNDS: u32 = 2;
 
@@ -51,6 +54,8 @@
     pub start: Millis,
     /// Time by which it must have its final answer.
     pub deadline: Millis,
+    /// Whether it is a call of a request that runs at the backend server beside this proxy.
+    pub is_nested: bool,
     /// What is sent.
     pub payload: Payload,
     /// Whether it may have run; read when its time runs out.
@@ -112,7 +117,9 @@
 
 /// Pursues a request to its final end.
 pub async fn pursue<D: Dialect>(shared: &Arc<Shared<D>>, call: Call<'_>) -> Final {
-    shared.with_budget(call.service, rf_traffic::RetryBudget::earn);
+    if !call.is_nested {
+        shared.with_budget(call.service, RetryBudget::earn);
+    }
     let crashes = shared.strikes.load().count(call.fingerprint);
     if crashes >= MAX_CRASHES {
         return Final::Refused(Reason::Crashing, call.deadline.since(shared.now()));
@@ -153,7 +160,10 @@
         }
         call.report(shared, target, &end);
         let kept = end_kind(&end);
-        let next = shared.with_budget(call.service, |b| pursuit.handle(instance, end, b));
+        let reserve = if call.is_nested { 0.0 } else { NESTED_RESERVE };
+        let next = shared.with_budget(call.service, |budget| {
+            pursuit.handle(instance, end, &mut budget.above(reserve))
+        });
         call.progress.set(pursuit.verdict() != Verdict::NotRun);
         if next == Next::GiveUp {
             return call.give_up(shared, pursuit, &candidates, Some(kept));
@@ -256,12 +266,20 @@
     ) -> Box<AttemptOrder> {
         let now = shared.now();
         let left = self.deadline.since(now);
-        let to_target = (self.start + self.route.target).since(now);
         let usual = shared.placement().usual_time(&target.candidate);
+        // A call that fails wastes the run that made it, so it is worth most until that run ends.
+        let to_target = match self.is_nested {
+            true => left,
+            false => (self.start + self.route.target).since(now),
+        };
         let patience = match is_urgent {
             true => Millis((left.since(usual).0 as f64 * LATE_PART) as u64),
             false => to_target.since(usual),
         };
+        let priority = match self.is_nested {
+            true => 0,
+            false => self.route.priority.saturating_add(1),
+        };
         Box::new(AttemptOrder {
             key: AttemptKey {
                 id: shared.next_attempt(),
@@ -270,7 +288,7 @@
             },
             terms: AttemptTerms {
                 repeat: self.route.repeat,
-                priority: self.route.priority,
+                priority,
                 target: to_target,
                 left,
                 patience,
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -11,7 +11,7 @@
 use rf_traffic::{Placement, RetryBudget, Shares, StrikeBook};
 use rf_transport::h1::{Pool, PoolSettings};
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// Time to open a connection to another proxy: several round trips between zones, and one repeat of
@@ -64,7 +64,8 @@
     random: Mutex<SeededRandom>,
     events: Sender<Event>,
     calls: AtomicUsize,
-    stopping: AtomicBool,
+    /// Time at which the process ends; 0 while it does not stop.
+    end: AtomicU64,
 }
 
 impl<D> Shared<D> {
@@ -108,7 +109,7 @@
             clock,
             events,
             calls: AtomicUsize::new(0),
-            stopping: AtomicBool::new(false),
+            end: AtomicU64::new(0),
         }
     }
 
@@ -195,25 +196,32 @@
 
     /// Returns whether the process is about to end.
     pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+        self.end.load(Ordering::Relaxed) > 0
     }
 
-    /// Marks the process as about to end.
-    pub fn stop(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
+    /// Returns whether the process ends before `time`.
+    pub fn ends_before(&self, time: Millis) -> bool {
+        let end = self.end.load(Ordering::Relaxed);
+        end > 0 && end < time.0
+    }
+
+    /// Marks the process as about to end at `end`.
+    pub fn stop(&self, end: Millis) {
+        self.end.store(end.0.max(1), Ordering::Relaxed);
+        self.gate.stop(end);
     }
 }
 
 /// Part of the operators' share of repeats that is used; the rest is for repeats that the callees
-/// of repeated requests cause.
-const BUDGET_PART: f64 = 0.4;
+/// of repeated requests cause, and for proxies that were replaced and start with a full budget.
+const BUDGET_PART: f64 = 0.7;
 
 /// Returns this proxy's part of the repeats that all proxies may make together: its share of the
 /// requests it takes in itself, and an equal part of the slack.
 fn compute_budget(settings: &ProxySettings, proxies: usize) -> (f64, f64) {
     let bounds = &settings.bounds;
     let slack = bounds.repeat_slack / proxies.max(1) as f64;
-    (bounds.repeat_share * BUDGET_PART, 1.0 + slack * BUDGET_PART)
+    (bounds.repeat_share * BUDGET_PART, slack * BUDGET_PART)
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -234,13 +242,13 @@
 #[derive(Debug)]
 pub struct HeldBytes {
     limit: u64,
-    held: Arc<std::sync::atomic::AtomicU64>,
+    held: Arc<AtomicU64>,
 }
 
 /// Bytes that are held until this is dropped.
 #[derive(Debug)]
 pub struct Hold {
-    held: Arc<std::sync::atomic::AtomicU64>,
+    held: Arc<AtomicU64>,
     bytes: u64,
 }
 
--- a/crates/traffic/src/admission.rs
+++ b/crates/traffic/src/admission.rs
@@ -65,7 +65,7 @@
     running: u32,
     waiting: BTreeMap<Place, Wish>,
     next: u64,
-    usual: f64,
+    usual: Option<f64>,
 }
 
 impl Queue {
@@ -76,7 +76,7 @@
             running: 0,
             waiting: BTreeMap::new(),
             next: 0,
-            usual: FIRST_GUESS,
+            usual: None,
         }
     }
 
@@ -109,7 +109,11 @@
         debug_assert!(self.running > 0);
         self.running = self.running.saturating_sub(1);
         if let Some(span) = span {
-            self.usual += (span.0 as f64 - self.usual) / SMOOTHING;
+            let span = span.0 as f64;
+            self.usual = Some(match self.usual {
+                Some(usual) => usual + (span - usual) / SMOOTHING,
+                None => span,
+            });
         }
         self.grant(now)
     }
@@ -139,14 +143,18 @@
         self.slots
     }
 
-    /// Returns the usual time of a run.
+    /// Returns the usual time of a run; zero before one has ended.
     pub fn usual(&self) -> Millis {
-        Millis(self.usual as u64)
+        Millis(self.usual.unwrap_or_default() as u64)
+    }
+
+    fn expected_run(&self) -> f64 {
+        self.usual.unwrap_or(FIRST_GUESS)
     }
 
     /// Time between two releases of a slot while all are taken.
     fn release_interval(&self) -> f64 {
-        self.usual / f64::from(self.slots.max(1))
+        self.expected_run() / f64::from(self.slots.max(1))
     }
 
     fn expected_wait(&self, now: Millis, wish: &Wish) -> Millis {
@@ -164,7 +172,7 @@
 
     /// Order among waiting requests; the least goes first.
     fn rank(&self, now: Millis, wish: &Wish) -> (bool, u8, Millis) {
-        let is_late = now + self.usual() > wish.target;
+        let is_late = now + Millis(self.expected_run() as u64) > wish.target;
         (is_late, wish.priority, wish.target)
     }
 
--- a/crates/traffic/src/placement.rs
+++ b/crates/traffic/src/placement.rs
@@ -28,8 +28,9 @@
 const FAILURE_WEIGHT: f64 = 0.1;
 /// Weight of failures on the score: a server that always fails looks this many times slower.
 const FAILURE_COST: f64 = 8.0;
-/// Factor on the usual time of a server that has not been measured: it may be in its cold start.
-const UNMEASURED_FACTOR: f64 = 1.3;
+/// Factor on the usual time of a server that has not been measured, so that a new server is tried
+/// soon, a few requests at a time.
+const UNMEASURED_FACTOR: f64 = 0.8;
 /// Greatest noise, as a share of the score.
 const NOISE: f64 = 0.1;
 /// First time for which an unreachable server is left out.
--- a/crates/traffic/src/pursuit.rs
+++ b/crates/traffic/src/pursuit.rs
@@ -4,7 +4,7 @@
 //! and the next server may be tried. Whatever may have reached a backend server counts against the
 //! route's limit, and a repeat of it draws on the retry budget, which all daemons share.
 
-use crate::retry::RetryBudget;
+use crate::retry::Allowance;
 use rf_base::{InstanceId, Verdict};
 use rf_config::Repeat;
 use rf_protocol::relay::{AttemptEnd, Loss, Rejection, ServerAnswer};
@@ -82,7 +82,7 @@
         &mut self,
         instance: InstanceId,
         end: AttemptEnd,
-        budget: &mut RetryBudget,
+        budget: &mut Allowance<'_>,
     ) -> Next {
         self.tried.insert(instance);
         match end {
@@ -92,7 +92,7 @@
         }
     }
 
-    fn after_answer(&mut self, answer: ServerAnswer, budget: &mut RetryBudget) -> Next {
+    fn after_answer(&mut self, answer: ServerAnswer, budget: &mut Allowance<'_>) -> Next {
         self.verdict = Verdict::Ran;
         self.reached += 1;
         let is_worth_repeating = answer.status >= FAILURE && answer.status != TIMED_OUT;
@@ -103,7 +103,7 @@
         }
     }
 
-    fn after_rejection(&mut self, rejection: Rejection, budget: &mut RetryBudget) -> Next {
+    fn after_rejection(&mut self, rejection: Rejection, budget: &mut Allowance<'_>) -> Next {
         match rejection {
             Rejection::Busy(_)
             | Rejection::NotHere
@@ -115,7 +115,7 @@
         }
     }
 
-    fn after_loss(&mut self, loss: Loss, budget: &mut RetryBudget) -> Next {
+    fn after_loss(&mut self, loss: Loss, budget: &mut Allowance<'_>) -> Next {
         self.verdict = self.verdict.join(Verdict::MayHaveRun);
         self.reached += 1;
         self.crashes += u32::from(loss == Loss::Crashed);
@@ -125,7 +125,7 @@
         }
     }
 
-    fn repeat(&self, budget: &mut RetryBudget) -> Next {
+    fn repeat(&self, budget: &mut Allowance<'_>) -> Next {
         let is_allowed = self.repeat == Repeat::Idempotent
             && self.reached < self.limit
             && self.crashes < MAX_CRASHES;
--- a/crates/traffic/src/retry.rs
+++ b/crates/traffic/src/retry.rs
@@ -49,6 +49,15 @@
         self.tokens = (self.tokens + self.share).min(self.burst);
     }
 
+    /// Returns a view that leaves `part` of the burst untouched.
+    pub fn above(&mut self, part: f64) -> Allowance<'_> {
+        let reserve = self.burst * part;
+        Allowance {
+            budget: self,
+            reserve,
+        }
+    }
+
     /// Takes one retry from the budget; returns whether there was one.
     pub fn take(&mut self) -> bool {
         if self.tokens < 1.0 {
@@ -59,6 +68,20 @@
     }
 }
 
+/// A retry budget with a reserve that stays untouched.
+#[derive(Debug)]
+pub struct Allowance<'a> {
+    budget: &'a mut RetryBudget,
+    reserve: f64,
+}
+
+impl Allowance<'_> {
+    /// Takes one retry; returns whether there was one beyond the reserve.
+    pub fn take(&mut self) -> bool {
+        self.budget.tokens >= self.reserve + 1.0 && self.budget.take()
+    }
+}
+
 /// How one attempt ended without an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AttemptEnd {
