Let the load policy be set, and let late requests take only what others leave

Cause: under lasting overload requests wait up to the edge of their target and then miss it; a request that no server could take in time competed with those that still could be.

Change: LoadPolicy in the settings; a request waits a part of its spare time at the first server, a second round is marked spare and ranks behind the rest.

--- a/crates/config/src/proxy.rs
+++ b/crates/config/src/proxy.rs
@@ -27,6 +27,9 @@
     pub limits: ProcessLimits,
     /// Bounds that the operators demand.
     pub bounds: Bounds,
+    /// How load is placed and bounded.
+    #[serde(default)]
+    pub policy: LoadPolicy,
     /// Filter of the log, as in `info`.
     #[serde(default = "default_level")]
     pub log: String,
@@ -60,6 +63,42 @@
     pub address: SocketAddr,
 }
 
+/// How load is placed and bounded.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields, rename_all = "camelCase")]
+pub struct LoadPolicy {
+    /// Part of the time to spare before its target that a request may wait at the first server that
+    /// it is offered to.
+    pub first_wait: f64,
+    /// Part of the time left that a request may wait once no server had room in time.
+    pub late_wait: f64,
+    /// Part of the retry budget that is kept for calls of running requests.
+    pub nested_reserve: f64,
+    /// What a kilobyte that leaves the availability zone costs, as time in milliseconds.
+    pub distance: f64,
+}
+
+impl Default for LoadPolicy {
+    fn default() -> Self {
+        LoadPolicy {
+            first_wait: 0.4,
+            late_wait: 0.3,
+            nested_reserve: 0.5,
+            distance: 10.0,
+        }
+    }
+}
+
+impl LoadPolicy {
+    fn parts(&self) -> [(&'static str, f64); 3] {
+        [
+            ("policy.firstWait", self.first_wait),
+            ("policy.lateWait", self.late_wait),
+            ("policy.nestedReserve", self.nested_reserve),
+        ]
+    }
+}
+
 /// Limits of a process.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "camelCase")]
@@ -140,6 +179,13 @@
             "bounds.trialShare: not between 0 and 1",
         );
         demand(bounds.grace > Millis::ZERO, "bounds.grace: is zero");
+        for (name, part) in self.policy.parts() {
+            demand(
+                (0.0..=1.0).contains(&part),
+                &format!("{name}: not between 0 and 1"),
+            );
+        }
+        demand(self.policy.distance >= 0.0, "policy.distance: is negative");
         errors
     }
 }
--- a/crates/protocol/src/relay.rs
+++ b/crates/protocol/src/relay.rs
@@ -27,6 +27,8 @@
     pub repeat: Repeat,
     /// Rank; 0 goes first.
     pub priority: u8,
+    /// Whether it takes only what others leave, as no server had room in time.
+    pub is_spare: bool,
     /// Time left until the answer is worth less.
     pub target: Millis,
     /// Time left until the request is given up.
--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -160,6 +160,7 @@
             self.check(&inner, order)?;
             let wish = Wish {
                 priority: terms.priority,
+                is_spare: terms.is_spare,
                 target: now + terms.target,
                 expires: now + terms.patience.min(terms.left),
             };
--- a/crates/proxy/src/pursue.rs
+++ b/crates/proxy/src/pursue.rs
@@ -21,17 +21,10 @@
 /// Instances whose backend server may die of a request before it is refused. The rules of the
 /// users' platform count requests that crash a fourth server.
 const MAX_CRASHES: usize = 3;
-/// Part of the time left that an answer which misses its target may wait for a slot.
-const LATE_PART: f64 = 0.3;
-/// What a byte that leaves the availability zone costs, as time, in milliseconds per kilobyte.
-const DISTANCE_PER_KB: f64 = 10.0;
 /// Bytes of a message besides its body.
 const HEAD_BYTES: f64 = 700.0;
 /// Shortest pause that a refused caller is told.
 const MIN_RETRY: Millis = Millis(50);
-/// Part of the retry budget that is kept for calls of running requests. A caller that is refused
-/// comes back by itself; a call that fails wastes the run that made it.
-const NESTED_RESERVE: f64 = 0.5;
 /// Rounds of offers to all servers.
 const ROUNDS: u32 = 2;
 
@@ -127,7 +120,7 @@
     let (side, targets) = call.choose_side(shared);
     let candidates: Vec<Candidate> = targets.iter().map(|t| t.candidate).collect();
     let mut pursuit = Pursuit::new(call.route.repeat, call.route.attempts);
-    let mut is_urgent = false;
+    let mut is_last = false;
     let mut rounds = 1;
     loop {
         let distance = call.distance(shared);
@@ -138,7 +131,7 @@
         let Some(instance) = chosen else {
             if rounds < ROUNDS && !candidates.is_empty() && pursuit.verdict() == Verdict::NotRun {
                 rounds += 1;
-                is_urgent = true;
+                is_last = true;
                 pursuit.forget_tried();
                 continue;
             }
@@ -147,7 +140,7 @@
         let Some(target) = targets.iter().find(|t| t.instance == instance) else {
             return call.give_up(shared, pursuit, &candidates, None);
         };
-        let end = call.offer(shared, target, is_urgent).await;
+        let end = call.offer(shared, target, is_last).await;
         call.observe(shared, side, &end, now);
         if let AttemptEnd::Answered(answer) = &end
             && answer.status < 500
@@ -160,7 +153,10 @@
         }
         call.report(shared, target, &end);
         let kept = end_kind(&end);
-        let reserve = if call.is_nested { 0.0 } else { NESTED_RESERVE };
+        let reserve = match call.is_nested {
+            true => 0.0,
+            false => shared.settings.load().policy.nested_reserve,
+        };
         let next = shared.with_budget(call.service, |budget| {
             pursuit.handle(instance, end, &mut budget.above(reserve))
         });
@@ -231,7 +227,7 @@
     fn distance<D>(&self, shared: &Shared<D>) -> Millis {
         let expected = shared.answer_bytes(&self.route.name);
         let bytes = HEAD_BYTES + self.payload.body.len() as f64 + expected;
-        Millis((bytes / 1024.0 * DISTANCE_PER_KB) as u64)
+        Millis((bytes / 1024.0 * shared.settings.load().policy.distance) as u64)
     }
 
     /// Offers the request to one server.
@@ -239,9 +235,9 @@
         &self,
         shared: &Arc<Shared<D>>,
         target: &Target,
-        is_urgent: bool,
+        is_last: bool,
     ) -> AttemptEnd {
-        let order = self.make_order(shared, target, is_urgent);
+        let order = self.make_order(shared, target, is_last);
         let mut offered = Offered {
             shared,
             instance: target.instance,
@@ -262,19 +258,18 @@
         &self,
         shared: &Shared<D>,
         target: &Target,
-        is_urgent: bool,
+        is_last: bool,
     ) -> Box<AttemptOrder> {
         let now = shared.now();
         let left = self.deadline.since(now);
         let usual = shared.placement().usual_time(&target.candidate);
-        // A call that fails wastes the run that made it, so it is worth most until that run ends.
-        let to_target = match self.is_nested {
-            true => left,
-            false => (self.start + self.route.target).since(now),
-        };
-        let patience = match is_urgent {
-            true => Millis((left.since(usual).0 as f64 * LATE_PART) as u64),
-            false => to_target.since(usual),
+        let policy = shared.settings.load().policy;
+        let to_target = (self.start + self.route.target).since(now);
+        // A call that fails wastes the run that made it, so it waits as long as that run can.
+        let patience = match (self.is_nested, is_last) {
+            (true, _) => left.since(usual),
+            (false, false) => part_of(to_target.since(usual), policy.first_wait),
+            (false, true) => part_of(left.since(usual), policy.late_wait),
         };
         let priority = match self.is_nested {
             true => 0,
@@ -289,7 +284,8 @@
             terms: AttemptTerms {
                 repeat: self.route.repeat,
                 priority,
-                target: to_target,
+                is_spare: is_last && !self.is_nested,
+                target: if self.is_nested { left } else { to_target },
                 left,
                 patience,
             },
@@ -361,6 +357,10 @@
     }
 }
 
+fn part_of(span: Millis, part: f64) -> Millis {
+    Millis((span.0 as f64 * part) as u64)
+}
+
 async fn run_here<D: Dialect>(shared: &Arc<Shared<D>>, order: &AttemptOrder) -> AttemptEnd {
     let start = shared.now();
     match shared.gate.enter(order).await {
--- a/crates/traffic/src/admission.rs
+++ b/crates/traffic/src/admission.rs
@@ -28,6 +28,8 @@
 pub struct Wish {
     /// Rank; 0 goes first.
     pub priority: u8,
+    /// Whether it takes only what others leave.
+    pub is_spare: bool,
     /// Time by which an answer is worth most.
     pub target: Millis,
     /// Time after which no slot is wanted any more.
@@ -173,7 +175,7 @@
     /// Order among waiting requests; the least goes first.
     fn rank(&self, now: Millis, wish: &Wish) -> (bool, u8, Millis) {
         let is_late = now + Millis(self.expected_run() as u64) > wish.target;
-        (is_late, wish.priority, wish.target)
+        (is_late || wish.is_spare, wish.priority, wish.target)
     }
 
     fn grant(&mut self, now: Millis) -> Wakeups {
