--- /dev/null
+++ b/crates/rollout/tests/trial.rs
@@ -0,0 +1,90 @@
+//! Trials of a version: bad ones are stopped early, good ones complete in time, few are exposed.
+
+use rf_base::Millis;
+use rf_protocol::relay::{TrialCell, VersionCount};
+use rf_rollout::trial::{TrialOpinion, TrialStep, judge, next_step, share_at};
+
+const DURATION: Millis = Millis(16_000);
+
+fn count(total: u64, failed: u64, slow: u64) -> VersionCount {
+    VersionCount {
+        total,
+        failed,
+        slow,
+    }
+}
+
+fn cell(route: u64, old: VersionCount, new: VersionCount) -> TrialCell {
+    TrialCell { route, old, new }
+}
+
+#[test]
+fn a_failing_version_is_bad_after_few_requests() {
+    let cells = [cell(1, count(200, 1, 0), count(8, 4, 0))];
+    assert_eq!(judge(&cells), TrialOpinion::Failing);
+}
+
+#[test]
+fn a_version_that_fails_on_one_route_is_bad() {
+    let cells = [
+        cell(1, count(500, 0, 0), count(60, 0, 0)),
+        cell(2, count(40, 0, 0), count(8, 4, 0)),
+    ];
+    assert_eq!(judge(&cells), TrialOpinion::Failing);
+}
+
+#[test]
+fn a_slow_version_is_bad() {
+    let cells = [cell(1, count(300, 0, 6), count(12, 0, 9))];
+    assert_eq!(judge(&cells), TrialOpinion::Slow);
+}
+
+#[test]
+fn a_failing_dependency_convicts_nobody() {
+    let cells = [cell(1, count(300, 120, 90), count(30, 14, 10))];
+    assert_eq!(judge(&cells), TrialOpinion::Good);
+}
+
+#[test]
+fn too_few_answers_prove_nothing() {
+    let cells = [cell(1, count(300, 0, 0), count(5, 0, 0))];
+    assert_eq!(judge(&cells), TrialOpinion::Unknown);
+}
+
+#[test]
+fn the_whole_trial_exposes_less_than_a_tenth() {
+    let steps = 1000;
+    let step = DURATION.0 / steps;
+    let shares = (0..steps).map(|i| share_at(Millis(i * step), DURATION));
+    let exposed: f64 = shares.sum::<f64>() / steps as f64;
+    assert!(exposed < 0.1, "{exposed} of all requests");
+}
+
+#[test]
+fn a_good_version_is_promoted_and_then_completed_in_time() {
+    let step = next_step(TrialOpinion::Good, Millis(9_000), DURATION, None);
+    assert_eq!(step, TrialStep::Wait);
+    let step = next_step(TrialOpinion::Good, Millis(10_000), DURATION, None);
+    assert_eq!(step, TrialStep::Promote);
+    let since = Some(Millis(500));
+    let step = next_step(TrialOpinion::Good, Millis(10_500), DURATION, since);
+    assert_eq!(step, TrialStep::Wait);
+    let since = Some(Millis(2_000));
+    let step = next_step(TrialOpinion::Good, Millis(12_000), DURATION, since);
+    assert_eq!(step, TrialStep::Complete);
+}
+
+#[test]
+fn a_version_nobody_could_try_is_taken_back_before_the_deadline() {
+    let step = next_step(TrialOpinion::Unknown, Millis(12_000), DURATION, None);
+    assert_eq!(step, TrialStep::Wait);
+    let step = next_step(TrialOpinion::Unknown, Millis(13_000), DURATION, None);
+    assert_eq!(step, TrialStep::RollBack);
+}
+
+#[test]
+fn a_version_that_turns_bad_after_promotion_is_taken_back() {
+    let since = Some(Millis(1_000));
+    let step = next_step(TrialOpinion::Failing, Millis(11_000), DURATION, since);
+    assert_eq!(step, TrialStep::RollBack);
+}
--- /dev/null
+++ b/crates/traffic/tests/admission.rs
@@ -0,0 +1,136 @@
+//! Load patterns that the queue before a backend server answers, on a virtual clock.
+
+use rf_base::Millis;
+use rf_traffic::admission::{Entry, Place, Queue, Wish};
+
+const FAR: Millis = Millis(100_000);
+
+fn wish(priority: u8, target: u64, expires: u64) -> Wish {
+    Wish {
+        priority,
+        is_spare: false,
+        target: Millis(target),
+        expires: Millis(expires),
+    }
+}
+
+/// Makes a queue of `slots` slots, all taken, whose runs usually take `usual`.
+fn busy_queue(slots: u32, usual: u64) -> Queue {
+    let mut queue = Queue::new(slots);
+    for _ in 0..slots {
+        assert_eq!(queue.enter(Millis(0), wish(1, 1000, 9000), FAR), Entry::Run);
+    }
+    queue.leave(Millis(0), Some(Millis(usual)));
+    assert_eq!(queue.enter(Millis(0), wish(1, 1000, 9000), FAR), Entry::Run);
+    queue
+}
+
+fn wait(queue: &mut Queue, now: u64, wish: Wish) -> Place {
+    match queue.enter(Millis(now), wish, FAR) {
+        Entry::Wait(place) => place,
+        other => panic!("expected to wait, got {other:?}"),
+    }
+}
+
+#[test]
+fn slots_are_a_hard_limit() {
+    let mut queue = busy_queue(3, 100);
+    wait(&mut queue, 0, wish(1, 1000, 9000));
+    assert_eq!(queue.running(), 3);
+    assert_eq!(queue.waiting(), 1);
+}
+
+#[test]
+fn a_wait_beyond_the_patience_is_refused_with_the_time_of_room() {
+    let mut queue = busy_queue(2, 100);
+    // One release every 50 ms: the first in line waits 50 ms.
+    let entry = queue.enter(Millis(0), wish(1, 1000, 9000), Millis(40));
+    assert_eq!(entry, Entry::Refuse(Millis(50)));
+    wait(&mut queue, 0, wish(1, 1000, 9000));
+    let entry = queue.enter(Millis(0), wish(1, 1000, 9000), Millis(60));
+    assert_eq!(entry, Entry::Refuse(Millis(100)));
+}
+
+#[test]
+fn a_request_that_would_start_after_its_end_is_refused_at_once() {
+    let mut queue = busy_queue(1, 300);
+    let entry = queue.enter(Millis(0), wish(1, 1000, 200), FAR);
+    assert_eq!(entry, Entry::Refuse(Millis(300)));
+}
+
+#[test]
+fn a_burst_of_one_class_is_overtaken_by_a_more_urgent_one() {
+    let mut queue = busy_queue(1, 10);
+    let burst: Vec<Place> = (0..20)
+        .map(|_| wait(&mut queue, 0, wish(2, 5000, 9000)))
+        .collect();
+    let urgent = wait(&mut queue, 1, wish(1, 5000, 9000));
+    let wakeups = queue.leave(Millis(10), Some(Millis(10)));
+    assert_eq!(wakeups.granted, [urgent]);
+    let wakeups = queue.leave(Millis(20), Some(Millis(10)));
+    assert_eq!(wakeups.granted, [burst[0]]);
+}
+
+#[test]
+fn under_lasting_overload_what_can_still_be_in_time_goes_first() {
+    let mut queue = busy_queue(1, 100);
+    let late = wait(&mut queue, 0, wish(1, 150, 9000));
+    let timely = wait(&mut queue, 60, wish(1, 600, 9000));
+    // At 100 the first can no longer end by 150, the second can by 600.
+    let wakeups = queue.leave(Millis(100), Some(Millis(100)));
+    assert_eq!(wakeups.granted, [timely]);
+    let wakeups = queue.leave(Millis(200), Some(Millis(100)));
+    assert_eq!(wakeups.granted, [late]);
+}
+
+#[test]
+fn a_spare_request_takes_only_what_others_leave() {
+    let mut queue = busy_queue(1, 10);
+    let spare = Wish {
+        is_spare: true,
+        ..wish(0, 5000, 9000)
+    };
+    let spare = wait(&mut queue, 0, spare);
+    let plain = wait(&mut queue, 5, wish(3, 5000, 9000));
+    assert_eq!(queue.leave(Millis(10), None).granted, [plain]);
+    assert_eq!(queue.leave(Millis(20), None).granted, [spare]);
+}
+
+#[test]
+fn a_wait_that_outlasts_its_bound_is_told_so() {
+    let mut queue = busy_queue(1, 10);
+    let place = wait(&mut queue, 0, wish(1, 50, 60));
+    let wakeups = queue.leave(Millis(60), Some(Millis(60)));
+    assert_eq!(wakeups.expired, [place]);
+    assert!(wakeups.granted.is_empty());
+}
+
+#[test]
+fn a_cancelled_wait_leaves_its_turn_to_the_next() {
+    let mut queue = busy_queue(1, 10);
+    let first = wait(&mut queue, 0, wish(1, 500, 9000));
+    let second = wait(&mut queue, 0, wish(1, 600, 9000));
+    assert!(queue.cancel(first));
+    assert!(!queue.cancel(first));
+    assert_eq!(queue.leave(Millis(10), None).granted, [second]);
+}
+
+#[test]
+fn more_slots_are_granted_at_once() {
+    let mut queue = Queue::new(0);
+    let entry = queue.enter(Millis(0), wish(1, 500, 9000), FAR);
+    assert!(matches!(entry, Entry::Refuse(_)), "a closed gate never waits");
+    queue.resize(Millis(0), 1);
+    assert_eq!(queue.enter(Millis(0), wish(1, 500, 9000), FAR), Entry::Run);
+    let waiting = wait(&mut queue, 0, wish(1, 500, 9000));
+    assert_eq!(queue.resize(Millis(0), 2).granted, [waiting]);
+}
+
+#[test]
+fn the_first_run_sets_the_usual_time() {
+    let mut queue = Queue::new(1);
+    assert_eq!(queue.usual(), Millis::ZERO);
+    queue.enter(Millis(0), wish(1, 500, 9000), FAR);
+    queue.leave(Millis(320), Some(Millis(320)));
+    assert_eq!(queue.usual(), Millis(320));
+}
--- /dev/null
+++ b/crates/traffic/tests/placement.rs
@@ -0,0 +1,143 @@
+//! Load patterns that placement answers, on a virtual clock.
+
+use rf_base::{InstanceId, Millis, SeededRandom};
+use rf_protocol::relay::LoadReport;
+use rf_traffic::{Candidate, OfferEnd, Placement};
+use std::collections::{BTreeMap, BTreeSet};
+
+fn candidate(id: u64, is_near: bool) -> Candidate {
+    Candidate {
+        instance: InstanceId(id),
+        slots: 4,
+        is_near,
+    }
+}
+
+fn report(running: u32, usual: u64) -> Option<LoadReport> {
+    Some(LoadReport {
+        running,
+        waiting: 0,
+        slots: 4,
+        usual: Millis(usual),
+    })
+}
+
+fn place(placement: &mut Placement, now: u64, candidates: &[Candidate]) -> InstanceId {
+    let tried = BTreeSet::new();
+    placement
+        .choose(Millis(now), candidates, &tried, Millis(20))
+        .expect("a candidate is left")
+}
+
+/// Tells the placement of one answer from `id`.
+fn learn(placement: &mut Placement, id: u64, end: OfferEnd, load: Option<LoadReport>) {
+    let only = [candidate(id, true)];
+    let chosen = place(placement, 0, &only);
+    placement.finish(Millis(0), chosen, end, load);
+}
+
+fn new_placement() -> Placement {
+    Placement::new(SeededRandom::new(7))
+}
+
+#[test]
+fn faster_servers_hold_more_under_load() {
+    let mut placement = new_placement();
+    let candidates = [candidate(1, true), candidate(2, true)];
+    learn(&mut placement, 1, OfferEnd::Good, report(0, 100));
+    learn(&mut placement, 2, OfferEnd::Good, report(0, 300));
+    let mut counts: BTreeMap<InstanceId, u32> = BTreeMap::new();
+    for _ in 0..12 {
+        *counts.entry(place(&mut placement, 1, &candidates)).or_default() += 1;
+    }
+    assert!(
+        counts[&InstanceId(1)] >= 8,
+        "the fast server holds {counts:?}"
+    );
+}
+
+#[test]
+fn a_new_server_is_tried_at_once() {
+    let mut placement = new_placement();
+    learn(&mut placement, 1, OfferEnd::Good, report(0, 100));
+    learn(&mut placement, 2, OfferEnd::Good, report(0, 100));
+    let candidates = [candidate(1, true), candidate(2, true), candidate(3, true)];
+    assert_eq!(place(&mut placement, 1, &candidates), InstanceId(3));
+}
+
+#[test]
+fn the_zone_is_left_only_when_that_is_faster() {
+    let mut placement = new_placement();
+    learn(&mut placement, 1, OfferEnd::Good, report(0, 100));
+    learn(&mut placement, 2, OfferEnd::Good, report(0, 95));
+    let candidates = [candidate(1, true), candidate(2, false)];
+    assert_eq!(place(&mut placement, 1, &candidates), InstanceId(1));
+    learn(&mut placement, 1, OfferEnd::Good, report(8, 100));
+    assert_eq!(place(&mut placement, 1, &candidates), InstanceId(2));
+}
+
+#[test]
+fn an_unreachable_server_is_left_out_longer_each_time() {
+    let mut placement = new_placement();
+    let candidates = [candidate(1, true), candidate(2, true)];
+    learn(&mut placement, 2, OfferEnd::Good, report(3, 400));
+    learn(&mut placement, 1, OfferEnd::Unreachable, None);
+    assert_eq!(place(&mut placement, 299, &candidates), InstanceId(2));
+    assert_eq!(place(&mut placement, 301, &candidates), InstanceId(1));
+    placement.finish(Millis(301), InstanceId(1), OfferEnd::Unreachable, None);
+    assert_eq!(place(&mut placement, 301 + 599, &candidates), InstanceId(2));
+    assert_eq!(place(&mut placement, 301 + 601, &candidates), InstanceId(1));
+}
+
+#[test]
+fn where_every_server_is_left_out_one_is_tried_all_the_same() {
+    let mut placement = new_placement();
+    learn(&mut placement, 1, OfferEnd::Unreachable, None);
+    assert_eq!(
+        place(&mut placement, 1, &[candidate(1, true)]),
+        InstanceId(1)
+    );
+}
+
+#[test]
+fn failures_weigh_on_a_server_without_excluding_it() {
+    let mut placement = new_placement();
+    let candidates = [candidate(1, true), candidate(2, true)];
+    for _ in 0..10 {
+        learn(&mut placement, 1, OfferEnd::Bad, report(0, 100));
+        learn(&mut placement, 2, OfferEnd::Good, report(0, 100));
+    }
+    assert_eq!(place(&mut placement, 1, &candidates), InstanceId(2));
+    learn(&mut placement, 2, OfferEnd::Good, report(40, 100));
+    assert_eq!(place(&mut placement, 1, &candidates), InstanceId(1));
+}
+
+#[test]
+fn an_old_report_of_load_fades() {
+    let mut placement = new_placement();
+    learn(&mut placement, 1, OfferEnd::Good, report(40, 100));
+    learn(&mut placement, 2, OfferEnd::Good, report(2, 300));
+    let candidates = [candidate(1, true), candidate(2, true)];
+    assert_eq!(place(&mut placement, 1, &candidates), InstanceId(2));
+    assert_eq!(place(&mut placement, 4000, &candidates), InstanceId(1));
+}
+
+#[test]
+fn a_server_that_was_tried_is_not_offered_again() {
+    let mut placement = new_placement();
+    let candidates = [candidate(1, true)];
+    let tried = BTreeSet::from([InstanceId(1)]);
+    let chosen = placement.choose(Millis(0), &candidates, &tried, Millis(0));
+    assert_eq!(chosen, None);
+}
+
+#[test]
+fn room_is_expected_at_the_server_with_the_shortest_wait() {
+    let mut placement = new_placement();
+    learn(&mut placement, 1, OfferEnd::Good, report(11, 100));
+    learn(&mut placement, 2, OfferEnd::Good, report(7, 100));
+    let candidates = [candidate(1, true), candidate(2, true)];
+    // Seven busy of four slots: four must end before the next begins, one every 25 ms.
+    let room = placement.expected_room(Millis(0), &candidates);
+    assert_eq!(room, Some(Millis(100)));
+}
--- /dev/null
+++ b/crates/traffic/tests/shares.rs
@@ -0,0 +1,60 @@
+//! Shares of the parts of a route.
+
+use rf_base::{Millis, SeededRandom};
+use rf_config::{Part, PathRoute, Repeat};
+use rf_traffic::Shares;
+use std::collections::BTreeMap;
+
+fn route(weights: &[(&str, u32)]) -> PathRoute {
+    let part = |(service, weight): &(&str, u32)| Part {
+        service: (*service).into(),
+        weight: *weight,
+    };
+    PathRoute {
+        name: "r".to_owned(),
+        prefix: "/".to_owned(),
+        repeat: Repeat::Idempotent,
+        attempts: 2,
+        timeout: Millis(1000),
+        target: Millis(500),
+        priority: 1,
+        parts: weights.iter().map(part).collect(),
+    }
+}
+
+fn deal(shares: &mut Shares, route: &PathRoute, count: usize) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for _ in 0..count {
+        let service = shares.deal(route).expect("a part has a weight");
+        *counts.entry(service.0.clone()).or_default() += 1;
+    }
+    counts
+}
+
+#[test]
+fn any_stretch_has_the_shares_of_the_weights() {
+    let route = route(&[("a", 90), ("b", 10)]);
+    let mut shares = Shares::new(SeededRandom::new(3));
+    for _ in 0..10 {
+        let counts = deal(&mut shares, &route, 100);
+        assert!((89..=91).contains(&counts["a"]), "{counts:?}");
+    }
+}
+
+#[test]
+fn many_daemons_with_few_requests_keep_the_shares_together() {
+    let route = route(&[("a", 75), ("b", 25)]);
+    let mut sum = 0;
+    for seed in 0..200 {
+        let mut shares = Shares::new(SeededRandom::new(seed));
+        sum += deal(&mut shares, &route, 2).get("a").copied().unwrap_or(0);
+    }
+    assert!((270..=330).contains(&sum), "{sum} of 400 went to a");
+}
+
+#[test]
+fn a_part_without_weight_gets_nothing() {
+    let route = route(&[("a", 0), ("b", 5)]);
+    let mut shares = Shares::new(SeededRandom::new(1));
+    assert_eq!(deal(&mut shares, &route, 50)["b"], 50);
+}
