--- /dev/null
+++ b/crates/proxy/tests/answers.rs
@@ -0,0 +1,178 @@
+//! Whole right answers, whatever a backend server sends.
+
+use rf_base::Millis;
+use rf_standin::users::mesh::{Ask, encode, read_answer};
+use rf_standin::users::server::body_of;
+use rf_standin::users::{Mesh, MeshSettings, ServerBehaviour};
+
+async fn start(network: u8) -> Mesh {
+    let settings = MeshSettings {
+        network,
+        ..MeshSettings::default()
+    };
+    Mesh::start(settings).await.expect("the mesh starts")
+}
+
+fn behave(mesh: &Mesh, behaviour: &ServerBehaviour) {
+    for instance in &mesh.instances {
+        instance.server.behave(behaviour.clone());
+    }
+}
+
+#[async_std::test]
+async fn an_answer_is_passed_on_with_signature_and_body() {
+    let mesh = start(1).await;
+    let answer = mesh.ask(0, &Ask::read("r-1")).await.expect("an answer");
+    assert_eq!(answer.head.status, 200);
+    assert_eq!(answer.body, body_of("r-1").into_bytes());
+    let signature = answer.head.headers.get("X-Rosemaryfork-Response-Signature");
+    assert_eq!(signature, Some("s.1"));
+}
+
+#[async_std::test]
+async fn a_request_reaches_the_backend_server_unchanged_but_for_what_the_proxy_sets() {
+    let mesh = start(2).await;
+    let mut connection = mesh.connect(0).await.expect("a connection");
+    let text = "POST /pay/x//y/../%7e?q=%2F HTTP/1.1\r\nHost: mesh.example\r\n\
+        X-Rosemaryfork-Request-Id: r-2\r\nX-Rosemaryfork-Deadline-Ms: 2000\r\n\
+        X-Rosemaryfork-Caller-Service: forged\r\nX-Other: a\r\nConnection: x-hop\r\nX-Hop: b\r\n\
+        Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+    connection.write(text.as_bytes()).await.expect("written");
+    let answer = read_answer(&mut connection, "POST")
+        .await
+        .expect("an answer");
+    assert_eq!(answer.head.status, 200);
+    let mut arrivals = mesh.instances.iter().flat_map(|i| i.server.arrivals());
+    let arrival = arrivals.find(|a| a.request == "r-2").expect("it arrived");
+    assert_eq!(arrival.head.method, "POST");
+    assert_eq!(arrival.head.target, "/pay/x//y/../%7e?q=%2F");
+    assert_eq!(arrival.body, b"abcde");
+    assert_eq!(arrival.header("X-Other"), Some("a"));
+    assert_eq!(arrival.header("X-Hop"), None);
+    assert_eq!(
+        arrival.header("X-Rosemaryfork-Caller-Service"),
+        Some("payments")
+    );
+    let expected = arrival.header("X-Rosemaryfork-Expect-Instance");
+    assert!(expected.is_some_and(|id| id.starts_with("i-payments")));
+    let left = arrival.header("X-Rosemaryfork-Deadline-Ms");
+    let left: u64 = left.and_then(|v| v.parse().ok()).expect("a number");
+    assert!((1500..=2000).contains(&left), "{left} ms are left");
+}
+
+#[async_std::test]
+async fn a_second_answer_is_given_to_nobody() {
+    let mesh = start(3).await;
+    behave(&mesh, &ServerBehaviour::AnswersTwice);
+    let mut connection = mesh.connect(0).await.expect("a connection");
+    for number in 0..40 {
+        let request = format!("r-{number}");
+        let ask = Ask::read(&request);
+        let answer = mesh.ask_on(&mut connection, &ask).await.expect("an answer");
+        assert_eq!(answer.head.status, 200);
+        assert_eq!(answer.body, body_of(&request).into_bytes());
+    }
+}
+
+#[async_std::test]
+async fn an_answer_without_a_length_is_whole_where_its_connection_ends() {
+    let mesh = start(4).await;
+    behave(&mesh, &ServerBehaviour::Unframed);
+    let answer = mesh.ask(0, &Ask::read("r-1")).await.expect("an answer");
+    assert_eq!(answer.head.status, 200);
+    assert_eq!(answer.body, body_of("r-1").into_bytes());
+}
+
+#[async_std::test]
+async fn what_is_no_whole_signed_answer_is_no_success() {
+    let mesh = start(5).await;
+    for behaviour in [
+        ServerBehaviour::Truncates,
+        ServerBehaviour::Unsigned,
+        ServerBehaviour::Garbles,
+    ] {
+        behave(&mesh, &behaviour);
+        let request = format!("r-{behaviour:?}");
+        let answer = mesh.ask(0, &Ask::pay(&request)).await.expect("an answer");
+        assert_eq!(answer.head.status, 502, "{behaviour:?}");
+        assert_eq!(mesh.runs(&request), 1, "{behaviour:?}");
+    }
+}
+
+#[async_std::test]
+async fn a_read_is_repeated_where_one_server_garbles() {
+    let mesh = start(6).await;
+    mesh.instances[0].server.behave(ServerBehaviour::Garbles);
+    for number in 0..10 {
+        let request = format!("r-{number}");
+        let answer = mesh.ask(0, &Ask::read(&request)).await.expect("an answer");
+        assert_eq!(answer.head.status, 200);
+        assert!(mesh.runs(&request) <= 2);
+    }
+}
+
+#[async_std::test]
+async fn requests_that_are_ambiguous_or_unrouted_are_refused() {
+    let mesh = start(7).await;
+    let cases = [
+        (
+            "GET /read/x HTTP/1.1\r\nHost: mesh.example\r\nHost: other\r\n\r\n",
+            400,
+        ),
+        (
+            "POST /pay/x HTTP/1.1\r\nHost: mesh.example\r\nContent-Length: 3\r\n\
+             Content-Length: 4\r\n\r\nabcd",
+            400,
+        ),
+        (
+            "POST /pay/x HTTP/1.1\r\nHost: mesh.example\r\nContent-Length: 3\r\n\
+             Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            400,
+        ),
+        ("GET /none/x HTTP/1.1\r\nHost: mesh.example\r\n\r\n", 404),
+        ("GET /read/x HTTP/1.1\r\nHost: unknown.example\r\n\r\n", 404),
+    ];
+    for (text, status) in cases {
+        let mut connection = mesh.connect(0).await.expect("a connection");
+        connection.write(text.as_bytes()).await.expect("written");
+        let answer = read_answer(&mut connection, "GET")
+            .await
+            .expect("an answer");
+        assert_eq!(answer.head.status, status, "{text}");
+    }
+}
+
+#[async_std::test]
+async fn a_connection_carries_one_request_after_another() {
+    let mesh = start(8).await;
+    let mut connection = mesh.connect(1).await.expect("a connection");
+    let both = [encode(&Ask::read("r-1")), encode(&Ask::read("r-2"))].concat();
+    connection.write(&both).await.expect("written");
+    for request in ["r-1", "r-2"] {
+        let answer = read_answer(&mut connection, "GET")
+            .await
+            .expect("an answer");
+        assert_eq!(answer.body, body_of(request).into_bytes());
+    }
+}
+
+#[async_std::test]
+async fn work_ends_when_its_caller_leaves() {
+    let mesh = start(9).await;
+    for instance in &mesh.instances {
+        instance.server.set_run_time(Millis(2000));
+    }
+    let mut connection = mesh.connect(0).await.expect("a connection");
+    connection
+        .write(&encode(&Ask::read("r-gone")))
+        .await
+        .expect("written");
+    rf_standin::users::mesh::wait_until("the request runs", || async { mesh.runs("r-gone") == 1 })
+        .await;
+    drop(connection);
+    rf_standin::users::mesh::wait_until("the run is cut", || async {
+        let mut arrivals = mesh.instances.iter().flat_map(|i| i.server.arrivals());
+        arrivals.any(|a| a.request == "r-gone" && a.was_cut)
+    })
+    .await;
+}
--- /dev/null
+++ b/crates/proxy/tests/departure.rs
@@ -0,0 +1,151 @@
+//! Backend servers that come and leave, and proxies that stop.
+
+use async_std::task;
+use rf_base::Millis;
+use rf_standin::users::mesh::{Ask, encode, read_answer, wait_until};
+use rf_standin::users::{Mesh, MeshSettings};
+use std::time::Instant;
+
+async fn start(network: u8) -> Mesh {
+    let settings = MeshSettings {
+        network,
+        grace: Millis(4000),
+        ..MeshSettings::default()
+    };
+    Mesh::start(settings).await.expect("the mesh starts")
+}
+
+async fn ask_both(mesh: &Mesh, round: &str) {
+    for number in 0..10 {
+        for proxy in 0..2 {
+            let ask = Ask::pay(&format!("{round}-{proxy}-{number}"));
+            let answer = mesh.ask(proxy, &ask).await.expect("an answer");
+            assert_eq!(answer.head.status, 200);
+        }
+    }
+}
+
+#[async_std::test]
+async fn a_leaving_server_gets_nothing_once_that_is_acknowledged() {
+    let mut mesh = start(41).await;
+    assert_eq!(mesh.instances[0].announce("draining").await.ok(), Some(200));
+    let before = mesh.instances[0].server.arrivals().len();
+    ask_both(&mesh, "after").await;
+    assert_eq!(mesh.instances[0].server.arrivals().len(), before);
+    // A heartbeat that was sent before and comes late opens nothing.
+    let late = mesh.instances[0].announce_as(1, "ready").await;
+    assert_eq!(late.ok(), Some(200));
+    ask_both(&mesh, "late").await;
+    assert_eq!(mesh.instances[0].server.arrivals().len(), before);
+}
+
+#[async_std::test]
+async fn a_server_that_withdraws_without_a_word_before_gets_nothing() {
+    let mesh = start(42).await;
+    assert_eq!(mesh.instances[0].withdraw().await.ok(), Some(200));
+    let before = mesh.instances[0].server.arrivals().len();
+    ask_both(&mesh, "after").await;
+    assert_eq!(mesh.instances[0].server.arrivals().len(), before);
+}
+
+#[async_std::test]
+async fn a_request_under_way_ends_well_while_its_server_leaves() {
+    let mut mesh = start(43).await;
+    mesh.instances[0].server.set_run_time(Millis(500));
+    mesh.instances[1].server.set_run_time(Millis(500));
+    let mut connection = mesh.connect(0).await.expect("a connection");
+    connection
+        .write(&encode(&Ask::pay("p-1")))
+        .await
+        .expect("written");
+    wait_until("the payment runs", || async { mesh.runs("p-1") == 1 }).await;
+    for instance in &mut mesh.instances {
+        instance.announce("draining").await.expect("acknowledged");
+    }
+    let answer = read_answer(&mut connection, "POST")
+        .await
+        .expect("an answer");
+    assert_eq!(answer.head.status, 200);
+}
+
+#[async_std::test]
+async fn unreadable_and_foreign_heartbeats_name_no_server() {
+    let mesh = start(44).await;
+    let instance = &mesh.instances[0];
+    let cases = [
+        ("{", 400),
+        (r#"{"address":"x","info":{},"status":{}}"#, 400),
+        (
+            r#"{"address":"127.9.44.1:8080","born":9000,"info":{"service":"payments","version":"v1","zone":"z","slots":4},"status":{"state":"odd","seq":9}}"#,
+            400,
+        ),
+        (
+            r#"{"address":"127.9.44.9:8080","born":9000,"info":{"service":"records","version":"v1","zone":"z","slots":4},"status":{"state":"draining","seq":9}}"#,
+            200,
+        ),
+    ];
+    for (body, status) in cases {
+        let body = body.as_bytes().to_vec();
+        let answer = instance
+            .call_host("PUT", "/api/instances/i-forged", body)
+            .await;
+        assert_eq!(answer.ok(), Some(status));
+    }
+    ask_both(&mesh, "after").await;
+}
+
+#[async_std::test]
+async fn a_new_server_is_used_by_every_proxy() {
+    let mut mesh = start(45).await;
+    let added = mesh.add("payments", "v1").await.expect("it starts");
+    wait_until("the other proxies use it", || async {
+        let ask = Ask::read("probe");
+        mesh.ask(0, &ask).await.ok();
+        mesh.instances[added].server.runs("probe") > 0
+    })
+    .await;
+}
+
+#[async_std::test]
+async fn a_stopping_proxy_ends_what_it_has_and_refuses_what_it_cannot_end() {
+    let mesh = start(46).await;
+    for instance in &mesh.instances {
+        instance.server.set_run_time(Millis(400));
+    }
+    let mut connection = mesh.connect(0).await.expect("a connection");
+    connection
+        .write(&encode(&Ask::pay("p-1")))
+        .await
+        .expect("written");
+    wait_until("the payment runs", || async { mesh.runs("p-1") == 1 }).await;
+    let start = Instant::now();
+    let proxy = mesh.instances[0].proxy.as_ref().expect("it runs");
+    let stopping = proxy.stop();
+    let asking = async {
+        let answer = read_answer(&mut connection, "POST")
+            .await
+            .expect("an answer");
+        assert_eq!(answer.head.status, 200);
+        assert!(answer.head.headers.has_token("connection", "close"));
+        assert_eq!(mesh.instances[0].readiness().await.ok(), Some(503));
+        // Others no longer send there, and what still comes here is served elsewhere.
+        let before = mesh.instances[0].server.arrivals().len();
+        let ask = Ask {
+            left: Millis(1500),
+            ..Ask::pay("p-2")
+        };
+        let answer = mesh.ask(0, &ask).await.expect("an answer");
+        assert_eq!(answer.head.status, 200);
+        let answer = mesh.ask(1, &Ask::pay("p-3")).await.expect("an answer");
+        assert_eq!(answer.head.status, 200);
+        assert_eq!(mesh.instances[0].server.arrivals().len(), before);
+        task::sleep(Millis(1400).duration()).await;
+        let answer = mesh.ask(0, &Ask::pay("p-late")).await.expect("an answer");
+        assert_eq!(answer.head.status, 503);
+        assert!(answer.retry_after().is_some());
+        assert_eq!(mesh.runs("p-late"), 0);
+    };
+    futures_lite::future::zip(stopping, asking).await;
+    let took = start.elapsed().as_millis();
+    assert!(took < 4000, "stopped after {took} ms");
+}
--- /dev/null
+++ b/crates/proxy/tests/once.rs
@@ -0,0 +1,121 @@
+//! At most one run, and refusals that are true.
+
+use async_std::task;
+use rf_base::Millis;
+use rf_standin::users::mesh::Ask;
+use rf_standin::users::{Mesh, MeshSettings, ServerBehaviour};
+
+async fn start(network: u8) -> Mesh {
+    let settings = MeshSettings {
+        network,
+        ..MeshSettings::default()
+    };
+    Mesh::start(settings).await.expect("the mesh starts")
+}
+
+#[async_std::test]
+async fn a_payment_whose_answer_is_lost_is_not_run_again() {
+    let mesh = start(21).await;
+    for instance in &mesh.instances {
+        instance.server.behave(ServerBehaviour::LosesAnswers);
+    }
+    for number in 0..6 {
+        let request = format!("p-{number}");
+        let answer = mesh.ask(0, &Ask::pay(&request)).await.expect("an answer");
+        assert_eq!(answer.head.status, 502);
+        assert_eq!(mesh.runs(&request), 1);
+    }
+}
+
+#[async_std::test]
+async fn a_refusal_says_the_truth_and_when_to_come_back() {
+    let mesh = start(22).await;
+    for instance in &mesh.instances {
+        instance.server.behave(ServerBehaviour::Sheds);
+    }
+    let answer = mesh.ask(0, &Ask::pay("p-1")).await.expect("an answer");
+    assert_eq!(answer.head.status, 503);
+    assert!(answer.retry_after().is_some_and(|s| s > 0.0 && s < 3.0));
+    assert_eq!(mesh.runs("p-1"), 0);
+}
+
+#[async_std::test]
+async fn another_process_at_the_address_does_not_run_the_request() {
+    let mesh = start(23).await;
+    for instance in &mesh.instances {
+        instance.server.replace("i-somebody-else");
+    }
+    let answer = mesh.ask(0, &Ask::pay("p-1")).await.expect("an answer");
+    assert_eq!(answer.head.status, 503);
+    assert_eq!(mesh.runs("p-1"), 0);
+}
+
+#[async_std::test]
+async fn a_failure_of_the_backend_server_is_passed_on_after_one_run() {
+    let mesh = start(24).await;
+    for instance in &mesh.instances {
+        instance.server.behave(ServerBehaviour::Fails);
+    }
+    let answer = mesh.ask(0, &Ask::pay("p-1")).await.expect("an answer");
+    assert_eq!(answer.head.status, 500);
+    assert_eq!(mesh.runs("p-1"), 1);
+    let read = mesh.ask(0, &Ask::read("r-1")).await.expect("an answer");
+    assert_eq!(read.head.status, 500);
+    assert_eq!(mesh.runs("r-1"), 2, "a read is tried on both servers");
+}
+
+#[async_std::test]
+async fn slots_are_never_exceeded_and_the_rest_is_refused_or_served() {
+    let mesh = start(25).await;
+    for instance in &mesh.instances {
+        instance.server.set_run_time(Millis(100));
+    }
+    let mesh = std::sync::Arc::new(mesh);
+    let calls: Vec<_> = (0..60)
+        .map(|number| {
+            let mesh = mesh.clone();
+            task::spawn(async move {
+                let ask = Ask::pay(&format!("p-{number}"));
+                let answer = mesh.ask(number % 2, &ask).await.expect("an answer");
+                (ask.request, answer)
+            })
+        })
+        .collect();
+    let mut served = 0;
+    for call in calls {
+        let (request, answer) = call.await;
+        let runs = mesh.runs(&request);
+        match answer.head.status {
+            200 => {
+                served += 1;
+                assert_eq!(runs, 1);
+            }
+            503 => {
+                assert_eq!(runs, 0, "a refused payment ran");
+                assert!(answer.retry_after().is_some());
+            }
+            status => panic!("status {status}"),
+        }
+    }
+    assert!(served >= 8, "{served} of 60 were served");
+    for instance in &mesh.instances {
+        assert!(instance.server.most_running() <= 4);
+    }
+}
+
+#[async_std::test]
+async fn a_request_that_outlasts_its_time_gets_its_answer_then() {
+    let mesh = start(26).await;
+    for instance in &mesh.instances {
+        instance.server.set_run_time(Millis(5000));
+    }
+    let start = std::time::Instant::now();
+    let ask = Ask {
+        left: Millis(400),
+        ..Ask::pay("p-1")
+    };
+    let answer = mesh.ask(0, &ask).await.expect("an answer");
+    assert_eq!(answer.head.status, 504);
+    let took = start.elapsed().as_millis();
+    assert!((350..900).contains(&took), "answered after {took} ms");
+}
--- /dev/null
+++ b/crates/proxy/tests/store.rs
@@ -0,0 +1,240 @@
+//! Configuration and orders, while the store is well and while it is not.
+
+use async_std::task;
+use rf_base::Millis;
+use rf_standin::users::mesh::{Ask, wait_until};
+use rf_standin::users::{Mesh, MeshSettings, ServerBehaviour, StoreFault};
+use serde_json::{Value, json};
+
+async fn start(network: u8, services: &[(&str, usize)]) -> Mesh {
+    let services = services.iter().map(|(n, c)| ((*n).to_owned(), *c));
+    let settings = MeshSettings {
+        network,
+        services: services.collect(),
+        ..MeshSettings::default()
+    };
+    Mesh::start(settings).await.expect("the mesh starts")
+}
+
+fn one_route(prefix: &str, service: &str) -> Value {
+    json!([{ "host": "mesh.example", "paths": [{
+        "name": "only",
+        "pathPrefix": prefix,
+        "kind": "safe",
+        "timeout": "2s",
+        "targetLatency": "500ms",
+        "priority": 1,
+        "maxAttempts": 2,
+        "service": service,
+    }]}])
+}
+
+async fn status_of(mesh: &Mesh, proxy: usize, target: &str) -> u16 {
+    let ask = Ask {
+        target: target.to_owned(),
+        ..Ask::read("probe")
+    };
+    let answer = mesh.ask(proxy, &ask).await;
+    answer.map_or(0, |a| a.head.status)
+}
+
+async fn wait_status(mesh: &Mesh, target: &str, status: u16) {
+    for proxy in 0..mesh.instances.len() {
+        wait_until(&format!("proxy {proxy} answers {status}"), || async {
+            status_of(mesh, proxy, target).await == status
+        })
+        .await;
+    }
+}
+
+#[async_std::test]
+async fn a_new_table_is_in_force_on_every_proxy() {
+    let mut mesh = start(61, &[("payments", 3)]).await;
+    let mut routes = mesh.default_routes();
+    routes[0]["paths"][0]["pathPrefix"] = json!("/moved/");
+    mesh.write_table(&routes);
+    wait_status(&mesh, "/moved/x", 200).await;
+    wait_status(&mesh, "/read/x", 404).await;
+}
+
+#[async_std::test]
+async fn a_table_that_cannot_be_used_leaves_the_last_one_in_force() {
+    let mut mesh = start(62, &[("payments", 2)]).await;
+    mesh.write_table(&one_route("/odd/", "nobody"));
+    mesh.store
+        .write("config", "main", json!({ "version": "r99" }));
+    task::sleep(Millis(400).duration()).await;
+    assert_eq!(status_of(&mesh, 0, "/read/x").await, 200);
+    assert_eq!(status_of(&mesh, 0, "/odd/x").await, 404);
+    mesh.write_table(&one_route("/next/", "payments"));
+    wait_status(&mesh, "/next/x", 200).await;
+}
+
+#[async_std::test]
+async fn requests_go_on_while_the_store_is_away_and_changes_come_after() {
+    let mut mesh = start(63, &[("payments", 2)]).await;
+    for fault in [
+        StoreFault::Busy,
+        StoreFault::TooMany,
+        StoreFault::Reset,
+        StoreFault::Silent,
+        StoreFault::Nonsense,
+    ] {
+        mesh.store.set_fault(fault);
+        task::sleep(Millis(200).duration()).await;
+        assert_eq!(status_of(&mesh, 0, "/read/x").await, 200, "{fault:?}");
+    }
+    let mut routes = mesh.default_routes();
+    routes[0]["paths"][0]["pathPrefix"] = json!("/later/");
+    mesh.write_table(&routes);
+    mesh.store.set_fault(StoreFault::None);
+    wait_status(&mesh, "/later/x", 200).await;
+}
+
+#[async_std::test]
+async fn answers_that_are_not_understood_are_asked_for_with_pauses() {
+    let mesh = start(64, &[("payments", 2)]).await;
+    mesh.store.set_fault(StoreFault::Nonsense);
+    // Watches that wait already end first.
+    mesh.store.write("rollouts", "other", json!({}));
+    mesh.store.write("config", "other", json!({}));
+    task::sleep(Millis(500).duration()).await;
+    let before = mesh.store.calls();
+    task::sleep(Millis(3000).duration()).await;
+    let calls = mesh.store.calls() - before;
+    // Two proxies follow two topics each, with pauses that grow to over half a second.
+    assert!(calls <= 4 * 8, "{calls} calls in three seconds");
+}
+
+#[async_std::test]
+async fn a_lost_history_is_read_anew() {
+    let mut mesh = start(65, &[("payments", 2)]).await;
+    mesh.store.set_fault(StoreFault::Reset);
+    task::sleep(Millis(300).duration()).await;
+    let mut routes = mesh.default_routes();
+    routes[0]["paths"][0]["pathPrefix"] = json!("/anew/");
+    mesh.write_table(&routes);
+    mesh.store.compact();
+    mesh.store.set_fault(StoreFault::None);
+    wait_status(&mesh, "/anew/x", 200).await;
+}
+
+#[async_std::test]
+async fn a_proxy_that_cannot_reach_the_store_hears_of_a_table_from_others() {
+    let mut mesh = start(66, &[("payments", 3)]).await;
+    // The watches that wait now hear of the change; nothing can be read after it.
+    let mut routes = mesh.default_routes();
+    routes[0]["paths"][0]["pathPrefix"] = json!("/heard/");
+    mesh.write_table(&routes);
+    mesh.store.set_fault(StoreFault::Busy);
+    wait_status(&mesh, "/heard/x", 200).await;
+}
+
+#[async_std::test]
+async fn a_proxy_without_a_table_refuses_and_is_not_ready() {
+    let mesh = start(67, &[("payments", 1)]).await;
+    mesh.store.set_fault(StoreFault::Silent);
+    let mut mesh = mesh;
+    // The new proxy finds neither the store nor the others.
+    let added = mesh.add("payments", "v1").await.expect("it starts");
+    assert_eq!(mesh.instances[added].readiness().await.ok(), Some(503));
+    assert_eq!(status_of(&mesh, added, "/read/x").await, 503);
+}
+
+#[async_std::test]
+async fn the_parts_of_a_split_get_their_shares() {
+    let mut mesh = start(68, &[("payments", 1), ("records", 1)]).await;
+    let mut routes = mesh.default_routes();
+    let read = &mut routes[0]["paths"][0];
+    read["pathPrefix"] = json!("/split/");
+    read["split"] = json!([
+        { "service": "payments", "weight": 80 },
+        { "service": "records", "weight": 20 },
+    ]);
+    if let Some(read) = read.as_object_mut() {
+        read.remove("service");
+    }
+    mesh.write_table(&routes);
+    wait_status(&mesh, "/split/x", 200).await;
+    let before = mesh.instances[1].server.arrivals().len();
+    for _ in 0..100 {
+        assert_eq!(status_of(&mesh, 0, "/split/x").await, 200);
+    }
+    let records = mesh.instances[1].server.arrivals().len() - before;
+    assert!(
+        (18..=22).contains(&records),
+        "{records} of 100 went to records"
+    );
+}
+
+fn order(mesh: &Mesh, duration: &str) {
+    let order = json!({
+        "service": "payments",
+        "targetVersion": "v2",
+        "duration": duration,
+    });
+    mesh.store.write("rollouts", "payments", order);
+}
+
+/// Sends requests until the order has ended; returns its last state.
+async fn drive(mesh: &Mesh) -> String {
+    for number in 0..2000 {
+        let ask = Ask::read(&format!("d-{number}"));
+        mesh.ask(number % 2, &ask).await.expect("an answer");
+        let status = mesh
+            .store
+            .status("rollouts", "payments")
+            .unwrap_or_default();
+        if let Some(state) = status["state"].as_str()
+            && state != "running"
+        {
+            assert_eq!(status["targetVersion"], "v2");
+            return state.to_owned();
+        }
+        task::sleep(Millis(5).duration()).await;
+    }
+    panic!("the order did not end");
+}
+
+#[async_std::test]
+async fn a_version_that_was_never_ordered_gets_nothing() {
+    let mut mesh = start(69, &[("payments", 2)]).await;
+    let added = mesh.add("payments", "v2").await.expect("it starts");
+    task::sleep(Millis(600).duration()).await;
+    for number in 0..40 {
+        let ask = Ask::read(&format!("d-{number}"));
+        mesh.ask(number % 3, &ask).await.expect("an answer");
+    }
+    assert_eq!(mesh.instances[added].server.arrivals().len(), 0);
+}
+
+#[async_std::test]
+async fn a_good_version_is_completed_and_runs_everything() {
+    let mut mesh = start(70, &[("payments", 2)]).await;
+    order(&mesh, "6s");
+    let added = mesh.add("payments", "v2").await.expect("it starts");
+    assert_eq!(drive(&mesh).await, "completed");
+    let before = mesh.instances[added].server.arrivals().len();
+    for number in 0..20 {
+        mesh.ask(0, &Ask::read(&format!("e-{number}")))
+            .await
+            .expect("an answer");
+    }
+    assert_eq!(mesh.instances[added].server.arrivals().len() - before, 20);
+}
+
+#[async_std::test]
+async fn a_bad_version_is_rolled_back_after_few_requests() {
+    let mut mesh = start(71, &[("payments", 2)]).await;
+    order(&mesh, "8s");
+    let added = mesh.add("payments", "v2").await.expect("it starts");
+    mesh.instances[added].server.behave(ServerBehaviour::Fails);
+    assert_eq!(drive(&mesh).await, "rolled_back");
+    let exposed = mesh.instances[added].server.arrivals().len();
+    assert!(exposed <= 50, "{exposed} requests reached the bad version");
+    for number in 0..20 {
+        let answer = mesh.ask(0, &Ask::read(&format!("e-{number}"))).await;
+        assert_eq!(answer.expect("an answer").head.status, 200);
+    }
+    assert_eq!(mesh.instances[added].server.arrivals().len(), exposed);
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod quickstart;
 pub mod server;
 pub mod simulation;
+pub mod users;
--- /dev/null
+++ b/crates/standin/src/users/mesh.rs
@@ -0,0 +1,461 @@
+//! A small mesh on the users' platform: proxies of the product, each beside a backend server, in
+//! this process, and a store.
+
+use super::server::UsersServer;
+use super::store::UsersStore;
+use async_std::task;
+use rf_base::{Clock, Millis};
+use rf_config::ProxySettings;
+use rf_config::proxy::{Bounds, LoadPolicy, LocalServer, ProcessLimits, ProxyListen};
+use rf_platform::{ObjectClient, PlatformDialect, PlatformSource};
+use rf_proxy::Proxy;
+use rf_transport::h1::{Connection, ReadLimits, RequestHead, ResponseHead, frame_response};
+use serde_json::{Value, json};
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::Instant;
+
+/// Longest wait for something that must happen.
+const PATIENCE: Millis = Millis::from_secs(20);
+/// Pause between two looks.
+const STEP: Millis = Millis(10);
+
+/// Shape of a mesh.
+#[derive(Clone, Debug)]
+pub struct MeshSettings {
+    /// Services, each with the number of its backend servers.
+    pub services: Vec<(String, usize)>,
+    /// Slots of each backend server.
+    pub slots: u32,
+    /// Second to third byte of the addresses, so that meshes in one process do not meet.
+    pub network: u8,
+    /// Time from the signal to stop until the end.
+    pub grace: Millis,
+}
+
+impl Default for MeshSettings {
+    fn default() -> Self {
+        MeshSettings {
+            services: vec![("payments".to_owned(), 2)],
+            slots: 4,
+            network: 1,
+            grace: Millis(6000),
+        }
+    }
+}
+
+/// One instance: a proxy with its backend server.
+#[derive(Debug)]
+pub struct Instance {
+    /// Name.
+    pub name: String,
+    /// Service.
+    pub service: String,
+    /// Version that the backend server announces.
+    pub version: String,
+    /// The backend server.
+    pub server: UsersServer,
+    /// The proxy, while it runs.
+    pub proxy: Option<Proxy<PlatformDialect>>,
+    settings: ProxySettings,
+    seq: u64,
+}
+
+/// A running mesh.
+#[derive(Debug)]
+pub struct Mesh {
+    /// The store.
+    pub store: UsersStore,
+    /// Instances.
+    pub instances: Vec<Instance>,
+    settings: MeshSettings,
+    version: u64,
+}
+
+/// An answer as a caller sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// Head.
+    pub head: ResponseHead,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+impl Answer {
+    /// Returns the time after which the caller may come back, in seconds.
+    pub fn retry_after(&self) -> Option<f64> {
+        self.head.headers.get("Retry-After")?.parse().ok()
+    }
+}
+
+/// A request as a caller sends it.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// Method.
+    pub method: &'static str,
+    /// Target.
+    pub target: String,
+    /// Id.
+    pub request: String,
+    /// Time that the caller waits.
+    pub left: Millis,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+impl Ask {
+    /// Makes a request that may be repeated.
+    pub fn read(request: &str) -> Ask {
+        Ask {
+            method: "GET",
+            target: "/read/x?y=%2F".to_owned(),
+            request: request.to_owned(),
+            left: Millis(3000),
+            body: Vec::new(),
+        }
+    }
+
+    /// Makes a request that must run once at most.
+    pub fn pay(request: &str) -> Ask {
+        Ask {
+            method: "POST",
+            target: "/pay/x".to_owned(),
+            body: b"amount=5".to_vec(),
+            ..Ask::read(request)
+        }
+    }
+}
+
+impl Mesh {
+    /// Starts a mesh and waits until every proxy serves every service.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where an address cannot be had or a proxy does not start.
+    pub async fn start(settings: MeshSettings) -> io::Result<Mesh> {
+        let store = UsersStore::start().await?;
+        let mut mesh = Mesh {
+            store,
+            instances: Vec::new(),
+            settings: settings.clone(),
+            version: 1,
+        };
+        mesh.write_table(&mesh.default_routes());
+        for (service, count) in &settings.services {
+            for _ in 0..*count {
+                mesh.add(service, "v1").await?;
+            }
+        }
+        mesh.wait_all_known().await;
+        Ok(mesh)
+    }
+
+    /// Adds an instance whose backend server announces itself.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where an address cannot be had or the proxy does not start.
+    pub async fn add(&mut self, service: &str, version: &str) -> io::Result<usize> {
+        let number = self.instances.len() as u8 + 1;
+        let ip = IpAddr::V4(Ipv4Addr::new(127, 9, self.settings.network, number));
+        let name = format!("{service}-{number}");
+        let server = UsersServer::start(&format!("i-{name}"), SocketAddr::new(ip, 8080)).await?;
+        let settings = make_settings(&name, service, ip, &self.store, &self.settings);
+        let mut instance = Instance {
+            name,
+            service: service.to_owned(),
+            version: version.to_owned(),
+            server,
+            proxy: None,
+            settings,
+            seq: 0,
+        };
+        instance.start_proxy().await?;
+        instance.announce("ready").await?;
+        self.instances.push(instance);
+        Ok(self.instances.len() - 1)
+    }
+
+    /// Writes the next version of the configuration; returns its number.
+    pub fn write_table(&mut self, hosts: &Value) -> u64 {
+        self.version += 1;
+        let services: Vec<Value> = self
+            .settings
+            .services
+            .iter()
+            .map(|(name, _)| json!({ "name": name, "maxConnections": 100 }))
+            .collect();
+        let document = json!({
+            "version": format!("r{}", self.version),
+            "services": services,
+            "limits": {
+                "maxHeaderBytes": 16384,
+                "maxBodyBytes": 1_048_576,
+                "headerTimeout": "3000ms",
+                "idleTimeout": "15s",
+            },
+            "virtualHosts": hosts,
+        });
+        self.store.write("config", "main", document);
+        self.version
+    }
+
+    /// Returns routes `/read/` and `/pay/` of host `mesh.example` to the first service, and one
+    /// `/NAME/` to each service.
+    pub fn default_routes(&self) -> Value {
+        let first = &self.settings.services[0].0;
+        let mut paths = vec![
+            route("read", "/read/", "safe", first),
+            route("pay", "/pay/", "unsafe", first),
+        ];
+        for (name, _) in &self.settings.services {
+            paths.push(route(name, &format!("/{name}/"), "safe", name));
+        }
+        json!([{ "host": "mesh.example", "paths": paths }])
+    }
+
+    /// Sends a request to the proxy of an instance on a connection of its own.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the connection ends without a whole answer.
+    pub async fn ask(&self, instance: usize, ask: &Ask) -> io::Result<Answer> {
+        let mut connection = self.connect(instance).await?;
+        self.ask_on(&mut connection, ask).await
+    }
+
+    /// Opens a connection to the proxy of an instance, as a caller does.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system.
+    pub async fn connect(&self, instance: usize) -> io::Result<Connection> {
+        let address = self.instances[instance].settings.listen.callers;
+        Connection::open(address, Millis(1000)).await
+    }
+
+    /// Sends a request on a connection and reads its answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the connection ends without a whole answer.
+    pub async fn ask_on(&self, connection: &mut Connection, ask: &Ask) -> io::Result<Answer> {
+        connection.write(&encode(ask)).await?;
+        read_answer(connection, ask.method).await
+    }
+
+    /// Waits until each proxy serves a request for each service.
+    ///
+    /// # Panics
+    ///
+    /// Panics where that does not happen in time.
+    pub async fn wait_all_known(&self) {
+        for (number, instance) in self.instances.iter().enumerate() {
+            if instance.proxy.is_none() {
+                continue;
+            }
+            for (service, _) in &self.settings.services {
+                let ask = Ask {
+                    target: format!("/{service}/warm"),
+                    ..Ask::read("warm-up")
+                };
+                wait_until(&format!("{} serves {service}", instance.name), || async {
+                    let answer = self.ask(number, &ask).await;
+                    answer.is_ok_and(|a| a.head.status == 200)
+                })
+                .await;
+            }
+        }
+    }
+
+    /// Returns how often a request began to run, over all backend servers.
+    pub fn runs(&self, request: &str) -> usize {
+        self.instances.iter().map(|i| i.server.runs(request)).sum()
+    }
+}
+
+impl Instance {
+    /// Starts the proxy, which knows nothing of an earlier life.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where it does not start.
+    pub async fn start_proxy(&mut self) -> io::Result<()> {
+        let source = PlatformSource::new(ObjectClient::new(self.settings.store));
+        let starting = Proxy::start(
+            self.settings.clone(),
+            PlatformDialect,
+            source,
+            Clock::system(),
+        );
+        self.proxy = Some(starting.await.map_err(io::Error::other)?);
+        Ok(())
+    }
+
+    /// Sends the next heartbeat of the backend server; returns the status of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where there is no answer.
+    pub async fn announce(&mut self, state: &str) -> io::Result<u16> {
+        self.seq += 1;
+        self.announce_as(self.seq, state).await
+    }
+
+    /// Sends a heartbeat with the given number.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where there is no answer.
+    pub async fn announce_as(&self, seq: u64, state: &str) -> io::Result<u16> {
+        let beat = json!({
+            "address": self.server.address(),
+            "born": 1000,
+            "info": {
+                "service": self.service,
+                "version": self.version,
+                "zone": "zone-a",
+                "slots": 4,
+            },
+            "status": { "state": state, "seq": seq, "coldRemaining": "0ms" },
+        });
+        let target = format!("/api/instances/{}", self.server.id());
+        let body = beat.to_string().into_bytes();
+        self.call_host("PUT", &target, body).await
+    }
+
+    /// Tells the proxy that the backend server leaves.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where there is no answer.
+    pub async fn withdraw(&self) -> io::Result<u16> {
+        let target = format!("/api/instances/{}", self.server.id());
+        self.call_host("DELETE", &target, Vec::new()).await
+    }
+
+    /// Asks whether the proxy takes requests.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where there is no answer.
+    pub async fn readiness(&self) -> io::Result<u16> {
+        self.call_host("GET", "/api/readiness", Vec::new()).await
+    }
+
+    /// Sends a call to the address for announcements.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where there is no answer.
+    pub async fn call_host(&self, method: &str, target: &str, body: Vec<u8>) -> io::Result<u16> {
+        let address = self.settings.listen.announcements;
+        let mut connection = Connection::open(address, Millis(1000)).await?;
+        let head = RequestHead::new(method, target, &address.to_string());
+        let mut bytes = head.encode(body.len());
+        bytes.extend_from_slice(&body);
+        connection.write(&bytes).await?;
+        Ok(read_answer(&mut connection, method).await?.head.status)
+    }
+}
+
+fn route(name: &str, prefix: &str, kind: &str, service: &str) -> Value {
+    json!({
+        "name": name,
+        "pathPrefix": prefix,
+        "kind": kind,
+        "timeout": "3000ms",
+        "targetLatency": "1s",
+        "priority": 1,
+        "maxAttempts": 2,
+        "service": service,
+    })
+}
+
+fn make_settings(
+    name: &str,
+    service: &str,
+    ip: IpAddr,
+    store: &UsersStore,
+    mesh: &MeshSettings,
+) -> ProxySettings {
+    let at = |port| SocketAddr::new(ip, port);
+    ProxySettings {
+        instance: name.to_owned(),
+        zone: "zone-a".into(),
+        region: "region".to_owned(),
+        listen: ProxyListen {
+            callers: at(9001),
+            relay: at(9002),
+            readiness: at(9003),
+            announcements: at(9004),
+        },
+        server: LocalServer {
+            service: service.into(),
+            address: at(8080),
+        },
+        store: store.address(),
+        limits: ProcessLimits {
+            memory: 256,
+            descriptors: 4096,
+        },
+        bounds: Bounds {
+            drain: Millis(2000),
+            grace: mesh.grace,
+            repeat_share: 0.2,
+            repeat_slack: 56.0,
+            trial_share: 0.1,
+            rollback: Millis(5000),
+        },
+        policy: LoadPolicy::default(),
+        log: "info".to_owned(),
+    }
+}
+
+/// Encodes a request with the headers of a caller.
+pub fn encode(ask: &Ask) -> Vec<u8> {
+    let mut head = RequestHead::new(ask.method, &ask.target, "mesh.example");
+    head.headers.add("X-Rosemaryfork-Request-Id", &ask.request);
+    let left = ask.left.0.to_string();
+    head.headers.add("X-Rosemaryfork-Deadline-Ms", &left);
+    let mut bytes = head.encode(ask.body.len());
+    bytes.extend_from_slice(&ask.body);
+    bytes
+}
+
+/// Reads the answer to a request.
+///
+/// # Errors
+///
+/// Returns an error where the connection ends without a whole answer.
+pub async fn read_answer(connection: &mut Connection, method: &str) -> io::Result<Answer> {
+    let limits = ReadLimits::default();
+    let head = connection.read_response(&limits).await;
+    let head = head.map_err(io::Error::other)?;
+    let framing = frame_response(&head, method).map_err(io::Error::other)?;
+    let body = connection.read_body(framing, &limits).await;
+    Ok(Answer {
+        head,
+        body: body.map_err(io::Error::other)?,
+    })
+}
+
+/// Waits until `check` holds.
+///
+/// # Panics
+///
+/// Panics where it does not hold in time.
+pub async fn wait_until<F, Fut>(what: &str, mut check: F)
+where
+    F: FnMut() -> Fut,
+    Fut: Future<Output = bool>,
+{
+    let start = Instant::now();
+    while start.elapsed() < PATIENCE.duration() {
+        if check().await {
+            return;
+        }
+        task::sleep(STEP.duration()).await;
+    }
+    panic!("not within {PATIENCE}: {what}");
+}
--- /dev/null
+++ b/crates/standin/src/users/server.rs
@@ -0,0 +1,280 @@
+//! Stand-in for a backend server of the users' platform.
+
+use async_std::net::TcpListener;
+use async_std::task;
+use futures_lite::FutureExt;
+use rf_base::Millis;
+use rf_transport::h1::{Connection, ReadLimits, RequestHead, ResponseHead, frame_request};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// What a backend server does with requests.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum ServerBehaviour {
+    /// It answers.
+    #[default]
+    Good,
+    /// It sends a second answer right after each.
+    AnswersTwice,
+    /// It sends its answers without a length and ends the connection.
+    Unframed,
+    /// It ends the connection in the middle of an answer.
+    Truncates,
+    /// It answers with success and no signature.
+    Unsigned,
+    /// It answers with bytes that are no HTTP.
+    Garbles,
+    /// It refuses and says that it did not run the request.
+    Sheds,
+    /// It runs the request and closes the connection without an answer.
+    LosesAnswers,
+    /// It answers 500.
+    Fails,
+}
+
+/// One request as a backend server saw it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Arrival {
+    /// Id by which the caller knows it.
+    pub request: String,
+    /// Head.
+    pub head: RequestHead,
+    /// Body.
+    pub body: Vec<u8>,
+    /// Whether it began to run.
+    pub has_run: bool,
+    /// Whether its connection closed before it had ended.
+    pub was_cut: bool,
+}
+
+impl Arrival {
+    /// Returns a header of the request.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.head.headers.get(name)
+    }
+}
+
+#[derive(Debug)]
+struct State {
+    id: String,
+    behaviour: ServerBehaviour,
+    run_time: Millis,
+    running: u32,
+    most_running: u32,
+    arrivals: Vec<Arrival>,
+}
+
+/// A running backend server.
+#[derive(Clone, Debug)]
+pub struct UsersServer {
+    address: SocketAddr,
+    state: Arc<Mutex<State>>,
+}
+
+impl UsersServer {
+    /// Starts a backend server whose process is `id`, at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system where the address cannot be had.
+    pub async fn start(id: &str, address: SocketAddr) -> io::Result<UsersServer> {
+        let listener = TcpListener::bind(address).await?;
+        let state = State {
+            id: id.to_owned(),
+            behaviour: ServerBehaviour::default(),
+            run_time: Millis(5),
+            running: 0,
+            most_running: 0,
+            arrivals: Vec::new(),
+        };
+        let server = UsersServer {
+            address: listener.local_addr()?,
+            state: Arc::new(Mutex::new(state)),
+        };
+        let serving = server.clone();
+        task::spawn(async move {
+            loop {
+                if let Ok((stream, _)) = listener.accept().await {
+                    let server = serving.clone();
+                    task::spawn(async move { server.serve(Connection::new(stream)).await });
+                }
+            }
+        });
+        Ok(server)
+    }
+
+    /// Returns the server's address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the id of the process.
+    pub fn id(&self) -> String {
+        self.lock().id.clone()
+    }
+
+    /// Puts another process at the address.
+    pub fn replace(&self, id: &str) {
+        self.lock().id = id.to_owned();
+    }
+
+    /// Changes what the server does with requests from now on.
+    pub fn behave(&self, behaviour: ServerBehaviour) {
+        self.lock().behaviour = behaviour;
+    }
+
+    /// Changes the time of a run.
+    pub fn set_run_time(&self, time: Millis) {
+        self.lock().run_time = time;
+    }
+
+    /// Returns every request so far.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.lock().arrivals.clone()
+    }
+
+    /// Returns how often a request began to run.
+    pub fn runs(&self, request: &str) -> usize {
+        let state = self.lock();
+        let matching = |a: &&Arrival| a.request == request && a.has_run;
+        state.arrivals.iter().filter(matching).count()
+    }
+
+    /// Returns the most requests that ran at a time.
+    pub fn most_running(&self) -> u32 {
+        self.lock().most_running
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn serve(&self, mut connection: Connection) {
+        let limits = ReadLimits::default();
+        loop {
+            let Ok(head) = connection.read_request(&limits).await else {
+                return;
+            };
+            let Ok(framing) = frame_request(&head) else {
+                return;
+            };
+            let Ok(body) = connection.read_body(framing, &limits).await else {
+                return;
+            };
+            let request = head
+                .headers
+                .get("X-Rosemaryfork-Request-Id")
+                .unwrap_or_default()
+                .to_owned();
+            if !self.answer(&mut connection, &request, head, body).await {
+                return;
+            }
+        }
+    }
+
+    /// Answers a request; returns whether the connection stays open.
+    async fn answer(
+        &self,
+        connection: &mut Connection,
+        request: &str,
+        head: RequestHead,
+        body: Vec<u8>,
+    ) -> bool {
+        let expected = head.headers.get("X-Rosemaryfork-Expect-Instance");
+        let is_other = expected.is_some_and(|id| id != self.lock().id);
+        let behaviour = self.lock().behaviour.clone();
+        let refusal = match (is_other, &behaviour) {
+            (true, _) => Some(421),
+            (false, ServerBehaviour::Sheds) => Some(503),
+            _ => None,
+        };
+        let number = self.arrive(request, head, body, refusal.is_none());
+        if let Some(status) = refusal {
+            let mut head = ResponseHead::new(status);
+            head.headers.add("X-Rosemaryfork-Not-Executed", "1");
+            return connection.write(&head.encode(Some(0))).await.is_ok();
+        }
+        if !self.run(connection, number).await {
+            return false;
+        }
+        let answer = make_answer(request, &behaviour);
+        connection.write(&answer).await.ok();
+        !matches!(
+            behaviour,
+            ServerBehaviour::Unframed
+                | ServerBehaviour::Truncates
+                | ServerBehaviour::LosesAnswers
+                | ServerBehaviour::Garbles
+        )
+    }
+
+    fn arrive(&self, request: &str, head: RequestHead, body: Vec<u8>, has_run: bool) -> usize {
+        let mut state = self.lock();
+        state.arrivals.push(Arrival {
+            request: request.to_owned(),
+            head,
+            body,
+            has_run,
+            was_cut: false,
+        });
+        state.arrivals.len() - 1
+    }
+
+    /// Runs a request; returns whether its connection was still open at the end.
+    async fn run(&self, connection: &mut Connection, number: usize) -> bool {
+        let time = {
+            let mut state = self.lock();
+            state.running += 1;
+            state.most_running = state.most_running.max(state.running);
+            state.run_time
+        };
+        let running = async {
+            task::sleep(time.duration()).await;
+            true
+        };
+        let leaving = async {
+            connection.wait_closed(1024).await;
+            false
+        };
+        let is_whole = running.or(leaving).await;
+        let mut state = self.lock();
+        state.running -= 1;
+        state.arrivals[number].was_cut = !is_whole;
+        is_whole
+    }
+}
+
+/// Body of a good answer to a request.
+pub fn body_of(request: &str) -> String {
+    format!("answer to {request}")
+}
+
+fn make_answer(request: &str, behaviour: &ServerBehaviour) -> Vec<u8> {
+    let status = match behaviour {
+        ServerBehaviour::Fails => 500,
+        _ => 200,
+    };
+    let mut head = ResponseHead::new(status);
+    head.headers.add("X-Rosemaryfork-Request-Id", request);
+    if *behaviour != ServerBehaviour::Unsigned {
+        head.headers.add("X-Rosemaryfork-Response-Signature", "s.1");
+    }
+    let body = body_of(request).into_bytes();
+    let with_body = |length: Option<usize>, part: &[u8]| {
+        let mut bytes = head.encode(length);
+        bytes.extend_from_slice(part);
+        bytes
+    };
+    match behaviour {
+        ServerBehaviour::LosesAnswers => Vec::new(),
+        ServerBehaviour::Garbles => b"\x00\x01 no answer at all\r\n\r\n".to_vec(),
+        ServerBehaviour::Unframed => with_body(None, &body),
+        ServerBehaviour::Truncates => with_body(Some(body.len()), &body[..body.len() / 2]),
+        ServerBehaviour::AnswersTwice => {
+            let once = with_body(Some(body.len()), &body);
+            [once.clone(), once].concat()
+        }
+        _ => with_body(Some(body.len()), &body),
+    }
+}
--- /dev/null
+++ b/crates/standin/src/users/store.rs
@@ -0,0 +1,372 @@
+//! Stand-in for the store of the users' platform.
+
+use async_std::net::TcpListener;
+use async_std::task;
+use rf_base::Millis;
+use rf_transport::h1::{Connection, ReadLimits, RequestHead, ResponseHead, frame_request};
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// Pause between two looks of a waiting watch.
+const WATCH_STEP: Millis = Millis(5);
+/// Objects on one page.
+const PAGE: usize = 50;
+
+/// What is wrong with the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StoreFault {
+    /// Nothing.
+    #[default]
+    None,
+    /// It answers 503.
+    Busy,
+    /// It answers 429.
+    TooMany,
+    /// It closes each connection.
+    Reset,
+    /// It never answers.
+    Silent,
+    /// It does what it is asked and does not answer.
+    LoseAnswers,
+    /// It answers after this time.
+    Slow(Millis),
+    /// It answers with text that is no JSON.
+    Nonsense,
+}
+
+#[derive(Clone, Debug)]
+struct Stored {
+    created: u64,
+    revision: u64,
+    spec: Value,
+    status: Value,
+    is_deleted: bool,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    revision: u64,
+    /// Revision below which changes are forgotten.
+    floor: u64,
+    objects: BTreeMap<(String, String), Stored>,
+    fault: StoreFault,
+    calls: u64,
+}
+
+/// A running store.
+#[derive(Clone, Debug)]
+pub struct UsersStore {
+    address: SocketAddr,
+    state: Arc<Mutex<State>>,
+}
+
+impl UsersStore {
+    /// Starts an empty store on a free port.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system where no port can be had.
+    pub async fn start() -> io::Result<UsersStore> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let store = UsersStore {
+            address: listener.local_addr()?,
+            state: Arc::default(),
+        };
+        let serving = store.clone();
+        task::spawn(async move {
+            loop {
+                if let Ok((stream, _)) = listener.accept().await {
+                    let store = serving.clone();
+                    task::spawn(async move { store.serve(Connection::new(stream)).await });
+                }
+            }
+        });
+        Ok(store)
+    }
+
+    /// Returns the store's address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Makes something go wrong, or ends that.
+    pub fn set_fault(&self, fault: StoreFault) {
+        self.lock().fault = fault;
+    }
+
+    /// Forgets all changes up to now.
+    pub fn compact(&self) {
+        let mut state = self.lock();
+        state.floor = state.revision;
+    }
+
+    /// Returns the number of calls so far, refused ones included.
+    pub fn calls(&self) -> u64 {
+        self.lock().calls
+    }
+
+    /// Writes an object as an operator does; returns the revision.
+    pub fn write(&self, kind: &str, name: &str, spec: Value) -> u64 {
+        self.lock().put(kind, name, Some(spec), None)
+    }
+
+    /// Returns the status of an object.
+    pub fn status(&self, kind: &str, name: &str) -> Option<Value> {
+        let key = (kind.to_owned(), name.to_owned());
+        let state = self.lock();
+        let object = state.objects.get(&key).filter(|o| !o.is_deleted)?;
+        Some(object.status.clone())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn serve(&self, mut connection: Connection) {
+        let limits = ReadLimits::default();
+        loop {
+            let Ok(head) = connection.read_request(&limits).await else {
+                return;
+            };
+            let Ok(framing) = frame_request(&head) else {
+                return;
+            };
+            let Ok(body) = connection.read_body(framing, &limits).await else {
+                return;
+            };
+            let Some((status, body)) = self.answer(&head, &body).await else {
+                return;
+            };
+            let mut bytes = ResponseHead::new(status).encode(Some(body.len()));
+            bytes.extend_from_slice(&body);
+            if connection.write(&bytes).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Answers a call; `None` closes the connection.
+    async fn answer(&self, head: &RequestHead, body: &[u8]) -> Option<(u16, Vec<u8>)> {
+        let fault = {
+            let mut state = self.lock();
+            state.calls += 1;
+            state.fault
+        };
+        match fault {
+            StoreFault::Busy => return Some((503, Vec::new())),
+            StoreFault::TooMany => return Some((429, Vec::new())),
+            StoreFault::Nonsense => return Some((200, b"<html>".to_vec())),
+            StoreFault::Reset => return None,
+            StoreFault::Silent => futures_lite::future::pending().await,
+            StoreFault::Slow(time) => task::sleep(time.duration()).await,
+            StoreFault::None | StoreFault::LoseAnswers => {}
+        }
+        let (status, value) = self.perform(head, body).await;
+        match fault {
+            StoreFault::LoseAnswers => futures_lite::future::pending().await,
+            _ => Some((status, value.to_string().into_bytes())),
+        }
+    }
+
+    async fn perform(&self, head: &RequestHead, body: &[u8]) -> (u16, Value) {
+        let query = Query::parse(&head.target);
+        let rest = head.path().strip_prefix("/api/objects/").unwrap_or("");
+        let parts: Vec<&str> = rest.split('/').collect();
+        let body: Value = serde_json::from_slice(body).unwrap_or(Value::Null);
+        match (head.method.as_str(), parts.as_slice()) {
+            ("GET", [kind]) => match query.number("watch") {
+                Some(revision) => self.watch(kind, revision, query.number("waitMs")).await,
+                None => self.lock().list(kind, query.text("after")),
+            },
+            ("GET", [kind, name]) => self.lock().get(kind, name),
+            ("POST", [kind]) => self.lock().create(kind, &body),
+            ("PUT", [kind, name]) => self.lock().replace(kind, name, &body, None),
+            ("PUT", [kind, name, "status"]) => {
+                let expected = query.number("revision");
+                self.lock().replace_status(kind, name, &body, expected)
+            }
+            ("DELETE", [kind, name]) => self.lock().delete(kind, name),
+            _ => (404, Value::Null),
+        }
+    }
+
+    async fn watch(&self, kind: &str, after: u64, wait: Option<u64>) -> (u16, Value) {
+        let mut left = wait.unwrap_or(0);
+        loop {
+            {
+                let state = self.lock();
+                if after < state.floor {
+                    return (410, Value::Null);
+                }
+                let events = state.events(kind, after);
+                if !events.is_empty() || left == 0 {
+                    let answer = json!({ "events": events, "currentRev": state.revision });
+                    return (200, answer);
+                }
+            }
+            task::sleep(WATCH_STEP.duration()).await;
+            left = left.saturating_sub(WATCH_STEP.0);
+        }
+    }
+}
+
+impl State {
+    fn put(&mut self, kind: &str, name: &str, spec: Option<Value>, status: Option<Value>) -> u64 {
+        let key = (kind.to_owned(), name.to_owned());
+        self.revision += 1;
+        let revision = self.revision;
+        let fresh = Stored {
+            created: revision,
+            revision,
+            spec: Value::Null,
+            status: Value::Null,
+            is_deleted: false,
+        };
+        let object = self.objects.entry(key).or_insert(fresh.clone());
+        if object.is_deleted {
+            *object = fresh;
+        }
+        object.revision = revision;
+        if let Some(spec) = spec {
+            object.spec = spec;
+        }
+        if let Some(status) = status {
+            object.status = status;
+        }
+        revision
+    }
+
+    fn standing(&self, kind: &str, name: &str) -> Option<&Stored> {
+        let key = (kind.to_owned(), name.to_owned());
+        self.objects.get(&key).filter(|o| !o.is_deleted)
+    }
+
+    fn get(&self, kind: &str, name: &str) -> (u16, Value) {
+        match self.standing(kind, name) {
+            Some(object) => (200, describe(name, object)),
+            None => (404, Value::Null),
+        }
+    }
+
+    fn list(&self, kind: &str, after: Option<&str>) -> (u16, Value) {
+        let all = self
+            .objects
+            .iter()
+            .filter(|((k, name), o)| k == kind && !o.is_deleted && Some(name.as_str()) > after);
+        let mut items: Vec<Value> = all
+            .take(PAGE + 1)
+            .map(|((_, name), o)| describe(name, o))
+            .collect();
+        let has_more = items.len() > PAGE;
+        items.truncate(PAGE);
+        let answer = json!({ "items": items, "hasMore": has_more, "currentRev": self.revision });
+        (200, answer)
+    }
+
+    fn events(&self, kind: &str, after: u64) -> Vec<Value> {
+        let changed = self
+            .objects
+            .iter()
+            .filter(|((k, _), o)| k == kind && o.revision > after);
+        changed
+            .map(|((_, name), o)| json!({ "deleted": o.is_deleted, "object": describe(name, o) }))
+            .collect()
+    }
+
+    fn create(&mut self, kind: &str, body: &Value) -> (u16, Value) {
+        let name = body["metadata"]["name"]
+            .as_str()
+            .unwrap_or_default()
+            .to_owned();
+        if self.standing(kind, &name).is_some() {
+            return (409, Value::Null);
+        }
+        self.put(kind, &name, Some(body["spec"].clone()), None);
+        self.get(kind, &name)
+    }
+
+    fn replace(
+        &mut self,
+        kind: &str,
+        name: &str,
+        body: &Value,
+        expected: Option<u64>,
+    ) -> (u16, Value) {
+        let Some(object) = self.standing(kind, name) else {
+            return (404, Value::Null);
+        };
+        let expected = expected.or_else(|| body["metadata"]["revision"].as_u64());
+        if expected.is_some_and(|e| e != object.revision) {
+            return (409, describe(name, object));
+        }
+        if object.spec != body["spec"] {
+            self.put(kind, name, Some(body["spec"].clone()), None);
+        }
+        self.get(kind, name)
+    }
+
+    fn replace_status(
+        &mut self,
+        kind: &str,
+        name: &str,
+        body: &Value,
+        expected: Option<u64>,
+    ) -> (u16, Value) {
+        let Some(object) = self.standing(kind, name) else {
+            return (404, Value::Null);
+        };
+        if expected.is_some_and(|e| e != object.revision) {
+            return (409, describe(name, object));
+        }
+        self.put(kind, name, None, Some(body["status"].clone()));
+        self.get(kind, name)
+    }
+
+    fn delete(&mut self, kind: &str, name: &str) -> (u16, Value) {
+        if self.standing(kind, name).is_none() {
+            return (404, Value::Null);
+        }
+        self.put(kind, name, None, None);
+        let key = (kind.to_owned(), name.to_owned());
+        if let Some(object) = self.objects.get_mut(&key) {
+            object.is_deleted = true;
+        }
+        (200, Value::Null)
+    }
+}
+
+fn describe(name: &str, object: &Stored) -> Value {
+    json!({
+        "metadata": {
+            "name": name,
+            "revision": object.revision,
+            "createdRev": object.created,
+            "finalizers": [],
+            "deleting": false,
+        },
+        "spec": object.spec,
+        "status": object.status,
+    })
+}
+
+/// Query of a target.
+struct Query<'a>(BTreeMap<&'a str, &'a str>);
+
+impl<'a> Query<'a> {
+    fn parse(target: &'a str) -> Query<'a> {
+        let query = target.split_once('?').map_or("", |(_, query)| query);
+        let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        Query(pairs.collect())
+    }
+
+    fn text(&self, name: &str) -> Option<&'a str> {
+        self.0.get(name).copied()
+    }
+
+    fn number(&self, name: &str) -> Option<u64> {
+        self.text(name)?.parse().ok()
+    }
+}
--- a/crates/traffic/tests/admission.rs
+++ b/crates/traffic/tests/admission.rs
@@ -119,7 +119,10 @@
 fn more_slots_are_granted_at_once() {
     let mut queue = Queue::new(0);
     let entry = queue.enter(Millis(0), wish(1, 500, 9000), FAR);
-    assert!(matches!(entry, Entry::Refuse(_)), "a closed gate never waits");
+    assert!(
+        matches!(entry, Entry::Refuse(_)),
+        "a closed gate never waits"
+    );
     queue.resize(Millis(0), 1);
     assert_eq!(queue.enter(Millis(0), wish(1, 500, 9000), FAR), Entry::Run);
     let waiting = wait(&mut queue, 0, wish(1, 500, 9000));
--- a/crates/traffic/tests/placement.rs
+++ b/crates/traffic/tests/placement.rs
@@ -48,7 +48,9 @@
     learn(&mut placement, 2, OfferEnd::Good, report(0, 300));
     let mut counts: BTreeMap<InstanceId, u32> = BTreeMap::new();
     for _ in 0..12 {
-        *counts.entry(place(&mut placement, 1, &candidates)).or_default() += 1;
+        *counts
+            .entry(place(&mut placement, 1, &candidates))
+            .or_default() += 1;
     }
     assert!(
         counts[&InstanceId(1)] >= 8,
--- a/crates/traffic/tests/pursuit.rs
+++ b/crates/traffic/tests/pursuit.rs
@@ -1,9 +1,9 @@
 //! What follows after an attempt: which ends permit another, and what the caller is told.
 
+use rf_base::Millis;
 use rf_base::{InstanceId, Verdict};
 use rf_config::Repeat;
 use rf_protocol::relay::{AttemptEnd, Loss, Rejection, ServerAnswer};
-use rf_base::Millis;
 use rf_traffic::{Next, Pursuit, RetryBudget};
 
 fn answered(status: u16) -> AttemptEnd {
@@ -19,7 +19,12 @@
 
 #[test]
 fn what_may_have_run_is_never_repeated_if_it_must_run_once() {
-    for loss in [Loss::Broken, Loss::Crashed, Loss::EarlierLife, Loss::Unreachable] {
+    for loss in [
+        Loss::Broken,
+        Loss::Crashed,
+        Loss::EarlierLife,
+        Loss::Unreachable,
+    ] {
         let mut budget = RetryBudget::with_burst(0.0, 10.0);
         let mut pursuit = Pursuit::new(Repeat::Once, 3);
         let next = handle(&mut pursuit, 1, AttemptEnd::MayHaveRun(loss), &mut budget);
@@ -58,8 +63,14 @@
 fn a_failure_is_repeated_up_to_the_limit_and_then_passed_on() {
     let mut budget = RetryBudget::with_burst(0.0, 10.0);
     let mut pursuit = Pursuit::new(Repeat::Idempotent, 2);
-    assert_eq!(handle(&mut pursuit, 1, answered(500), &mut budget), Next::Retry);
-    assert_eq!(handle(&mut pursuit, 2, answered(502), &mut budget), Next::GiveUp);
+    assert_eq!(
+        handle(&mut pursuit, 1, answered(500), &mut budget),
+        Next::Retry
+    );
+    assert_eq!(
+        handle(&mut pursuit, 2, answered(502), &mut budget),
+        Next::GiveUp
+    );
     let failure = pursuit.take_failure().expect("the last failure is kept");
     assert_eq!(failure.status, 502);
 }
@@ -68,7 +79,10 @@
 fn a_backend_server_that_ran_out_of_time_is_not_asked_again() {
     let mut budget = RetryBudget::with_burst(0.0, 10.0);
     let mut pursuit = Pursuit::new(Repeat::Idempotent, 3);
-    assert_eq!(handle(&mut pursuit, 1, answered(504), &mut budget), Next::GiveUp);
+    assert_eq!(
+        handle(&mut pursuit, 1, answered(504), &mut budget),
+        Next::GiveUp
+    );
 }
 
 #[test]
--- a/crates/traffic/tests/resident.rs
+++ b/crates/traffic/tests/resident.rs
@@ -29,8 +29,14 @@
 #[test]
 fn a_ready_announcement_opens_and_a_repeat_changes_nothing() {
     let mut residence = residence();
-    assert_eq!(announce(&mut residence, &news("a", 1, 1, true)), Change::Opened);
-    assert_eq!(announce(&mut residence, &news("a", 1, 2, true)), Change::Same);
+    assert_eq!(
+        announce(&mut residence, &news("a", 1, 1, true)),
+        Change::Opened
+    );
+    assert_eq!(
+        announce(&mut residence, &news("a", 1, 2, true)),
+        Change::Same
+    );
     assert_eq!(residence.resident().map(|r| r.id.as_str()), Some("a"));
 }
 
@@ -38,7 +44,10 @@
 fn a_late_announcement_does_not_open_a_closed_gate() {
     let mut residence = residence();
     announce(&mut residence, &news("a", 1, 1, true));
-    assert_eq!(announce(&mut residence, &news("a", 1, 5, false)), Change::Closed);
+    assert_eq!(
+        announce(&mut residence, &news("a", 1, 5, false)),
+        Change::Closed
+    );
     let late = announce(&mut residence, &news("a", 1, 4, true));
     assert_eq!(late, Change::Ignored(Ignored::Stale));
     let forged = announce(&mut residence, &news("a", 1, 6, true));
@@ -62,7 +71,10 @@
     let mut residence = residence();
     announce(&mut residence, &news("a", 10, 50, true));
     assert_eq!(residence.withdraw("a", None), Change::Closed);
-    assert_eq!(announce(&mut residence, &news("a", 11, 1, true)), Change::Opened);
+    assert_eq!(
+        announce(&mut residence, &news("a", 11, 1, true)),
+        Change::Opened
+    );
 }
 
 #[test]
@@ -79,9 +91,15 @@
     let mut residence = residence();
     let mut other = news("a", 1, 1, true);
     other.service = ServiceName::from("records");
-    assert_eq!(announce(&mut residence, &other), Change::Ignored(Ignored::Foreign));
+    assert_eq!(
+        announce(&mut residence, &other),
+        Change::Ignored(Ignored::Foreign)
+    );
     let mut other = news("a", 1, 1, true);
     other.address = "10.0.0.2:80".parse().expect("an address");
-    assert_eq!(announce(&mut residence, &other), Change::Ignored(Ignored::Foreign));
+    assert_eq!(
+        announce(&mut residence, &other),
+        Change::Ignored(Ignored::Foreign)
+    );
     assert!(residence.resident().is_none());
 }
