--- a/crates/daemon/src/traffic/headers.rs
+++ b/crates/daemon/src/traffic/headers.rs
@@ -100,6 +100,10 @@
 ///
 /// Returns what is wrong with it.
 pub fn check_framing(request: &Request) -> Result<(), &'static str> {
+    let hosts = request.header("host").map_or(0, |v| v.iter().count());
+    if hosts > 1 {
+        return Err("expected one host");
+    }
     let lengths = request
         .header("content-length")
         .map_or(0, |v| v.iter().count());
--- a/crates/rosemaryfork/tests/http.rs
+++ b/crates/rosemaryfork/tests/http.rs
@@ -65,6 +65,7 @@
             "transfer-encoding: gzip, chunked\r\n\r\n0\r\n\r\n".to_owned(),
             "content-length: +5\r\n\r\nhello".to_owned(),
             "transfer-encoding: chunked\r\n\r\nzz\r\nhello\r\n".to_owned(),
+            "host: b\r\ncontent-length: 0\r\n\r\n".to_owned(),
             format!("x-huge: {huge}\r\n\r\n"),
         ];
         for shape in shapes {
