--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -170,7 +170,8 @@
                 Entry::Wait(place) => self.wait(&mut inner, order.key.id, place),
             }
         };
-        waiting.finish(terms.patience.min(terms.left)).await?;
+        let waited = waiting.finish(terms.patience.min(terms.left)).await;
+        waited.map_err(|rejection| self.soften(rejection, order))?;
         let mut inner = self.lock();
         match self.check(&inner, order) {
             Ok(()) => self.begin(&mut inner, order),
@@ -181,6 +182,16 @@
         }
     }
 
+    /// Tells a wait that outlasted the patience for this gate from the end of the request's time.
+    fn soften(&self, rejection: Rejection, order: &AttemptOrder) -> Rejection {
+        match rejection {
+            Rejection::Expired if order.terms.patience < order.terms.left => {
+                Rejection::Busy(self.lock().queue.expected_room())
+            }
+            other => other,
+        }
+    }
+
     fn check(&self, inner: &Inner, order: &AttemptOrder) -> Result<()> {
         if order.key.target != self.me || order.key.life != self.life {
             return Err(Rejection::ForeignLife);
--- a/crates/traffic/src/admission.rs
+++ b/crates/traffic/src/admission.rs
@@ -167,7 +167,8 @@
         Millis((turns * self.release_interval()) as u64)
     }
 
-    fn expected_room(&self) -> Millis {
+    /// Returns the time until a slot is expected for one more request.
+    pub fn expected_room(&self) -> Millis {
         let turns = (self.waiting.len() + 1) as f64;
         Millis((turns * self.release_interval()).max(1.0) as u64)
     }
