--- a/crates/protocol/src/relay.rs
+++ b/crates/protocol/src/relay.rs
@@ -247,10 +247,10 @@
     pub table: Counter,
     /// Version changes that the sender knows.
     pub orders: Vec<OrderNews>,
-    /// Observations of running version changes.
-    pub trials: Vec<Trial>,
-    /// Crashes of backend servers, by request.
+    /// Crashes of backend servers, by request, that the sender learnt of lately.
     pub strikes: Vec<Strike>,
+    /// Time since the store is known to have answered one of those who follow it.
+    pub store_age: Millis,
 }
 
 /// Message from one daemon to another.
@@ -266,13 +266,15 @@
     Fetch(Counter),
     /// A description that must be known at once, as a backend server leaves.
     Tell(Box<Member>),
+    /// Observations of a version change, for those who judge it.
+    Observe(Box<Trial>),
 }
 
 /// Answer to a [`RelayRequest`].
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum RelayReply {
-    /// How an attempt ended, and the load at that moment.
-    Attempt(AttemptEnd, LoadReport),
+    /// How an attempt ended, the load at that moment, and the time from its receipt to its end.
+    Attempt(AttemptEnd, LoadReport, Millis),
     /// What the ledger says.
     Ask(LedgerAnswer),
     /// The replier's heartbeat and news.
--- a/crates/proxy/src/control/driver.rs
+++ b/crates/proxy/src/control/driver.rs
@@ -111,6 +111,7 @@
                 version.set(table.version.0 as i64);
                 self.shared.shares().reset();
             }
+            Action::Follow(topic, is_mine) => self.shared.duties.set(topic, is_mine),
             Action::Strikes(book) => self.shared.strikes.store(Arc::new(*book)),
             Action::Record(rollout, state) => self.record(*rollout, state),
             Action::Readmit(instance) => self.shared.placement().readmit(instance),
@@ -174,5 +175,6 @@
         Kind::Exchange => "exchange",
         Kind::Fetch => "fetch",
         Kind::Tell => "tell",
+        Kind::Observe => "observe",
     }
 }
--- a/crates/proxy/src/control/event.rs
+++ b/crates/proxy/src/control/event.rs
@@ -1,6 +1,6 @@
 //! What the control machine is told, and what it wants done.
 
-use crate::source::{ProxyEntry, Snapshot};
+use crate::source::{ProxyEntry, Snapshot, Topic};
 use crate::view::View;
 use async_channel::Sender;
 use rf_base::InstanceId;
@@ -22,6 +22,10 @@
     Exchange(Box<Exchange>, Box<News>, ExchangeSender),
     /// Another proxy describes itself, because its backend server leaves.
     Told(Box<Member>),
+    /// Another proxy tells what it observed of a version change.
+    Observed(Box<Trial>),
+    /// The store answered this proxy.
+    StoreAnswered,
     /// A message was answered, or not.
     Replied(Target, Kind, Option<RelayReply>),
     /// The backend server beside this proxy came, changed or left.
@@ -45,6 +49,8 @@
     Fetch,
     /// Description that must be known at once.
     Tell,
+    /// Observations of a version change.
+    Observe,
 }
 
 /// What the control machine wants done.
@@ -62,6 +68,8 @@
     Record(Box<Rollout>, RolloutState),
     /// Let a backend server be chosen again at once.
     Readmit(InstanceId),
+    /// Follow the store, or leave that to others.
+    Follow(Topic, bool),
     /// A newer route table is in force.
     Adopted(std::sync::Arc<RouteTable>),
 }
--- a/crates/proxy/src/control/machine.rs
+++ b/crates/proxy/src/control/machine.rs
@@ -6,15 +6,16 @@
 
 use super::event::{Action, Event, ExchangeSender, Kind};
 use super::orders::{Orders, VersionRule};
-use crate::source::{ProxyEntry, Snapshot};
+use crate::source::{ProxyEntry, Snapshot, Topic};
 use crate::view::{ServiceView, Target as ServerTarget, TrialView, View};
 use rf_base::{Incarnation, InstanceId, Millis, SeededRandom, ServiceName, VersionName, ZoneName};
 use rf_config::RouteTable;
+use rf_membership::overlay::compute_ranked;
 use rf_membership::{Membership, MembershipSettings, Target};
 use rf_protocol::relay::{News, RelayReply, RelayRequest, Trial};
 use rf_protocol::{Exchange, Member, ServerInfo, Strike};
 use rf_traffic::{Candidate, Resident, StrikeBook};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tracing::{info, warn};
@@ -25,6 +26,18 @@
 const MISSES: u32 = 3;
 /// Proxies to which a new one introduces itself at once.
 const INTRODUCTIONS: usize = 3;
+/// Time for which news of a crash are passed on; several exchanges with each neighbour.
+const STRIKE_NEWS: Millis = Millis(1600);
+/// Time between two reports of what was observed of a version change.
+const OBSERVE_PAUSE: Millis = Millis(700);
+/// Proxies that judge a version change: its owner, and the next in rank.
+const JUDGES: usize = 2;
+/// Proxies that follow a topic of the store for all.
+const FOLLOWERS: usize = 5;
+/// Time without a sign of the store after which every proxy follows it.
+const STORE_STALE: Millis = Millis(6000);
+/// Time that a new proxy waits for its neighbours' table before it reads the store.
+const PATIENCE: Millis = Millis(350);
 /// Time after which a table that was asked for is asked for again.
 const FETCH_TIME: Millis = Millis(500);
 
@@ -41,6 +54,8 @@
     pub relay: SocketAddr,
     /// This life of the process.
     pub life: Incarnation,
+    /// Time of the start.
+    pub started: Millis,
 }
 
 /// State of the control machine.
@@ -50,7 +65,15 @@
     table: Arc<RouteTable>,
     orders: Orders,
     strikes: StrikeBook,
+    /// Strikes that are told to others, with the time at which they were learnt.
+    fresh_strikes: Vec<(Millis, Strike)>,
+    /// Own observations as they were last sent, by order.
+    sent_trials: BTreeMap<u64, u64>,
+    next_observe: Millis,
+    store_seen: Millis,
+    duties: BTreeSet<Topic>,
     fetch_until: Millis,
+    started: Millis,
     is_stopping: bool,
     published: View,
     random: SeededRandom,
@@ -82,7 +105,13 @@
             table: Arc::default(),
             orders: Orders::default(),
             strikes: StrikeBook::default(),
+            fresh_strikes: Vec::new(),
+            sent_trials: BTreeMap::new(),
+            next_observe: Millis::ZERO,
+            store_seen: Millis::ZERO,
+            duties: BTreeSet::new(),
             fetch_until: Millis::ZERO,
+            started: settings.started,
             is_stopping: false,
             published: View::default(),
             random,
@@ -112,6 +141,8 @@
             Event::Exchange(exchange, news, sender) => {
                 self.answer_exchange(now, &exchange, &news, sender, &mut actions);
             }
+            Event::Observed(trial) => self.orders.observe(&trial),
+            Event::StoreAnswered => self.store_seen = now,
             Event::Told(member) => self.membership.handle_description(now, &member),
             Event::Replied(target, kind, reply) => {
                 self.handle_reply(now, target, kind, reply, &mut actions);
@@ -132,26 +163,77 @@
         for trial in trials {
             self.orders.observe(trial);
         }
-        let owners = self.rank_owners();
         let me = self.id();
-        let (changed, records) = self.orders.advance(now, |order| owners(order) == Some(me));
+        let running = self.orders.running();
+        let owned: Vec<u64> = running
+            .into_iter()
+            .filter(|order| self.rank(*order, 1).contains(&me))
+            .collect();
+        let (changed, records) = self.orders.advance(now, |order| owned.contains(&order));
         if changed {
             self.membership.kick(now);
         }
         for (rollout, state) in records {
             actions.push(Action::Record(Box::new(rollout), state));
         }
+        self.send_trials(now, trials, actions);
+        self.divide_duties(now, actions);
+        self.fresh_strikes
+            .retain(|(learnt, _)| now.since(*learnt) < STRIKE_NEWS);
         for (target, exchange) in self.membership.tick(now) {
             self.send_exchange(now, target, exchange, actions);
         }
     }
 
-    /// Returns which proxy owns an order: the highest ranked of those that are reachable.
-    fn rank_owners(&self) -> impl Fn(u64) -> Option<InstanceId> + use<> {
-        let roster = self.membership.roster();
-        let members = roster.reachable().filter(|m| !m.leaving);
-        let ids: Vec<InstanceId> = members.map(|m| m.id).collect();
-        move |order| ids.iter().copied().max_by_key(|id| id.rank(order))
+    /// Sends this proxy's observations to the proxies that judge each order.
+    fn send_trials(&mut self, now: Millis, trials: &[Trial], actions: &mut Vec<Action>) {
+        if now < self.next_observe {
+            return;
+        }
+        self.next_observe = now + OBSERVE_PAUSE;
+        self.sent_trials
+            .retain(|order, _| trials.iter().any(|t| t.order == *order));
+        for trial in trials {
+            let sent = self.sent_trials.insert(trial.order, trial.total());
+            if sent.unwrap_or(0) == trial.total() {
+                continue;
+            }
+            for judge in self.rank(trial.order, JUDGES) {
+                let target = self.membership.target(judge);
+                if let Some(target) = target.filter(|_| judge != self.id()) {
+                    let request = RelayRequest::Observe(Box::new(trial.clone()));
+                    actions.push(Action::Send(target, Kind::Observe, Box::new(request)));
+                }
+            }
+        }
+    }
+
+    /// Returns the proxies that rank highest for `key`.
+    fn rank(&self, key: u64, count: usize) -> Vec<InstanceId> {
+        let members = self.membership.roster().reachable().filter(|m| !m.leaving);
+        compute_ranked(key, members.map(|m| m.id), count)
+    }
+
+    /// Takes the store's topics on that are this proxy's to follow.
+    ///
+    /// A few proxies follow each topic for all; where the store seems to answer none of them, the
+    /// others do so too until it is known to answer.
+    fn divide_duties(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        let is_stale = now.since(self.store_seen) >= STORE_STALE;
+        let is_known = self.table.version.0 > 0;
+        let is_early = !is_known && now.since(self.started) < PATIENCE;
+        for topic in [Topic::Table, Topic::Rollouts] {
+            let followers = self.rank(topic as u64 + 1, FOLLOWERS);
+            let is_mine = followers.contains(&self.id()) || is_stale || !is_known;
+            let is_mine = is_mine && !is_early;
+            let was_mine = match is_mine {
+                true => !self.duties.insert(topic),
+                false => self.duties.remove(&topic),
+            };
+            if is_mine != was_mine {
+                actions.push(Action::Follow(topic, is_mine));
+            }
+        }
     }
 
     fn send_exchange(
@@ -167,12 +249,11 @@
     }
 
     fn news(&self, now: Millis) -> News {
-        let (orders, trials) = self.orders.news(now);
         News {
             table: self.table.version,
-            orders,
-            trials,
-            strikes: self.strikes.all(),
+            orders: self.orders.news(now),
+            strikes: self.fresh_strikes.iter().map(|(_, s)| *s).collect(),
+            store_age: now.since(self.store_seen),
         }
     }
 
@@ -210,7 +291,7 @@
                 self.adopt(now, *table, "proxy", actions);
             }
             (Kind::Fetch, _) => self.fetch_until = Millis::ZERO,
-            (Kind::Tell, _) => {}
+            (Kind::Tell | Kind::Observe, _) => {}
         }
     }
 
@@ -225,9 +306,8 @@
         for order in &news.orders {
             changed |= self.orders.hear(now, order);
         }
-        for trial in &news.trials {
-            self.orders.observe(trial);
-        }
+        let seen = Millis(now.0.saturating_sub(news.store_age.0));
+        self.store_seen = self.store_seen.max(seen);
         if changed {
             self.membership.kick(now);
         }
@@ -254,6 +334,7 @@
             instance = %strike.instance,
             crashes = self.strikes.count(strike.fingerprint),
         );
+        self.fresh_strikes.push((now, *strike));
         self.membership.kick(now);
         actions.push(Action::Strikes(Box::new(self.strikes.clone())));
     }
--- a/crates/proxy/src/control/orders.rs
+++ b/crates/proxy/src/control/orders.rs
@@ -154,15 +154,14 @@
     }
 
     /// Returns what to tell other proxies.
-    pub fn news(&self, now: Millis) -> (Vec<OrderNews>, Vec<Trial>) {
+    pub fn news(&self, now: Millis) -> Vec<OrderNews> {
         let news = |o: &Order| OrderNews {
             rollout: o.rollout.clone(),
             age: now.since(o.first_seen),
             is_stopped: o.is_stopped,
             promoted: o.promoted.map(|at| now.since(at)),
         };
-        let orders = self.orders.values().map(news).collect();
-        (orders, self.trials.values().cloned().collect())
+        self.orders.values().map(news).collect()
     }
 
     /// Returns which versions of a service may get requests.
--- a/crates/proxy/src/control/sync.rs
+++ b/crates/proxy/src/control/sync.rs
@@ -15,7 +15,9 @@
 use tracing::{info, warn};
 
 /// Longest wait of one watch.
-const WATCH_TIME: Millis = Millis(20_000);
+const WATCH_TIME: Millis = Millis(4000);
+/// Time between two looks whether a topic is this proxy's to follow.
+const DUTY_CHECK: Millis = Millis(250);
 /// Pause after a change, so that changes in quick succession are read together.
 const COALESCE: Millis = Millis(150);
 /// First pause after a failed call.
@@ -104,6 +106,9 @@
     async fn follow(&self, topic: Topic) {
         let mut backoff = Backoff::new();
         loop {
+            while !self.shared.duties.is_mine(topic) {
+                task::sleep(DUTY_CHECK.duration()).await;
+            }
             let read = self.source.read(topic).await;
             self.observe(topic, "read", &read);
             match read {
@@ -118,10 +123,10 @@
         }
     }
 
-    /// Watches until a watch fails.
+    /// Watches until a watch fails, or the topic is left to others.
     async fn watch(&self, topic: Topic, mut revision: Revision) {
         let mut backoff = Backoff::new();
-        loop {
+        while self.shared.duties.is_mine(topic) {
             let watched = self.source.watch(topic, revision, WATCH_TIME).await;
             self.observe(topic, "watch", &watched);
             match watched {
@@ -164,6 +169,9 @@
         let calls = &self.shared.metrics.store_calls;
         calls.with_label_values(&[kind, label]).inc();
         self.health.observe(result);
+        if result.is_ok() {
+            self.shared.tell(Event::StoreAnswered);
+        }
     }
 
     /// Writes this proxy's entry and reads those of the others.
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -77,8 +77,10 @@
 ) -> Option<RelayReply> {
     match message {
         RelayRequest::Attempt(order) => {
+            let start = shared.now();
             let end = run_attempt(shared, connection, &order).await?;
-            Some(RelayReply::Attempt(end, shared.gate.load()))
+            let spent = shared.now().since(start);
+            Some(RelayReply::Attempt(end, shared.gate.load(), spent))
         }
         RelayRequest::Ask(key) => Some(RelayReply::Ask(shared.gate.ask(&key))),
         RelayRequest::Exchange(exchange, news) => {
@@ -91,6 +93,10 @@
             shared.tell(Event::Told(member));
             Some(RelayReply::Done)
         }
+        RelayRequest::Observe(trial) => {
+            shared.tell(Event::Observed(trial));
+            Some(RelayReply::Done)
+        }
         RelayRequest::Fetch(version) => Some(RelayReply::Table(newer_table(shared, version))),
     }
 }
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -85,7 +85,8 @@
         let life = find_life(&source, me, &clock).await;
         let seed = hash_key(format!("{} {life}", settings.instance).as_bytes());
         let mut random = SeededRandom::new(seed);
-        let control = make_control(&settings, life, SeededRandom::new(random.bits()));
+        let started = clock.now();
+        let control = make_control(&settings, life, started, SeededRandom::new(random.bits()));
         let entry = ProxyEntry {
             instance: me,
             zone: settings.zone.clone(),
@@ -184,13 +185,19 @@
     Incarnation(now.max(least))
 }
 
-fn make_control(settings: &ProxySettings, life: Incarnation, random: SeededRandom) -> Control {
+fn make_control(
+    settings: &ProxySettings,
+    life: Incarnation,
+    started: Millis,
+    random: SeededRandom,
+) -> Control {
     let control = ControlSettings {
         name: settings.instance.clone(),
         zone: settings.zone.clone(),
         region: settings.region.clone(),
         relay: settings.listen.relay,
         life,
+        started,
     };
     Control::new(control, random)
 }
--- a/crates/proxy/src/pursue.rs
+++ b/crates/proxy/src/pursue.rs
@@ -9,10 +9,10 @@
 use rf_base::{InstanceId, Millis, ServiceName, Verdict};
 use rf_config::PathRoute;
 use rf_protocol::relay::{
-    AttemptEnd, AttemptKey, AttemptOrder, AttemptTerms, LoadReport, Loss, Payload, Rejection,
-    ServerAnswer,
+    AttemptEnd, AttemptKey, AttemptOrder, AttemptTerms, Loss, Payload, Rejection, ServerAnswer,
 };
 use rf_rollout::trial::share_at;
+use rf_traffic::placement::Report;
 use rf_traffic::{Candidate, Next, OfferEnd, Pursuit, RetryBudget};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -246,7 +246,12 @@
         };
         self.progress.set(true);
         let (end, report) = match target.instance == shared.me {
-            true => (run_here(shared, &order).await, Some(shared.gate.load())),
+            true => {
+                let end = run_here(shared, &order).await;
+                let load = shared.gate.load();
+                let transit = Millis::ZERO;
+                (end, Some(Report { load, transit }))
+            }
             false => relay::attempt(shared, target, order).await,
         };
         offered.end = grade(&end);
@@ -405,7 +410,7 @@
     shared: &'a Shared<D>,
     instance: InstanceId,
     end: OfferEnd,
-    report: Option<LoadReport>,
+    report: Option<Report>,
 }
 
 impl<D> Drop for Offered<'_, D> {
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -11,9 +11,9 @@
 use futures_lite::FutureExt;
 use rf_base::Millis;
 use rf_protocol::relay::{
-    AttemptEnd, AttemptKey, AttemptOrder, LedgerAnswer, LoadReport, Loss, Rejection, RelayReply,
-    RelayRequest,
+    AttemptEnd, AttemptKey, AttemptOrder, LedgerAnswer, Loss, Rejection, RelayReply, RelayRequest,
 };
+use rf_traffic::placement::Report;
 use rf_transport::h1::{Connection, Pool, ReadLimits, RequestHead, frame_response};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -33,7 +33,7 @@
 /// Pause after a question that could not be asked.
 const RETRY_PAUSE: Millis = Millis(100);
 /// Longest wait for the answer to a question.
-const ASK_TIME: Millis = Millis(400);
+const ASK_TIME: Millis = Millis(1000);
 /// Questions in a row without an answer after which the other proxy counts as gone.
 const MAX_MISSES: u32 = 3;
 /// Idle time up to which a connection to another proxy is used again.
@@ -66,7 +66,7 @@
 pub type Result<T> = std::result::Result<T, RelayError>;
 
 /// An attempt's end, with the load reported with it.
-pub type Sent = (AttemptEnd, Option<LoadReport>);
+pub type Sent = (AttemptEnd, Option<Report>);
 
 /// Encodes a message.
 ///
@@ -139,6 +139,7 @@
 ///
 /// The caller bounds the time; an attempt that is dropped is cancelled at the other end.
 pub async fn attempt<D>(shared: &Shared<D>, target: &Target, order: Box<AttemptOrder>) -> Sent {
+    let start = shared.now();
     let key = order.key;
     let request = order.request.clone();
     let body = match encode(&RelayRequest::Attempt(order)) {
@@ -172,9 +173,10 @@
     };
     let outcome = watch(shared, target, &key, exchange).await;
     match outcome {
-        Outcome::Replied(RelayReply::Attempt(end, load)) => {
+        Outcome::Replied(RelayReply::Attempt(end, load, spent)) => {
             shared.relays.put_back(target.relay, connection);
-            (end, Some(load))
+            let transit = shared.now().since(start).since(spent);
+            (end, Some(Report { load, transit }))
         }
         Outcome::Replied(_) => (AttemptEnd::MayHaveRun(Loss::Broken), None),
         Outcome::Asked(end) => (end, None),
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -3,6 +3,7 @@
 use crate::control::Event;
 use crate::gate::Gate;
 use crate::metrics::Metrics;
+use crate::source::Topic;
 use crate::view::View;
 use arc_swap::ArcSwap;
 use async_channel::Sender;
@@ -11,7 +12,7 @@
 use rf_traffic::{Placement, RetryBudget, Shares, StrikeBook};
 use rf_transport::h1::{Pool, PoolSettings};
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// Time to open a connection to another proxy: several round trips between zones, and one repeat of
@@ -52,6 +53,8 @@
     pub relays: Pool,
     /// Connections to the backend server.
     pub servers: Pool,
+    /// Topics of the store that this proxy follows.
+    pub duties: Duties,
     /// Metrics.
     pub metrics: Metrics,
     /// Bytes of requests and answers that are held.
@@ -97,6 +100,7 @@
                 idle: IDLE_CONNECTIONS,
                 max_idle: SERVER_IDLE,
             }),
+            duties: Duties::default(),
             metrics: Metrics::new(),
             held: HeldBytes::new(settings.limits.held_bytes()),
             placement: Mutex::new(Placement::new(fork())),
@@ -238,6 +242,32 @@
     }
 }
 
+/// Topics of the store that this proxy follows itself.
+#[derive(Debug, Default)]
+pub struct Duties {
+    table: AtomicBool,
+    rollouts: AtomicBool,
+}
+
+impl Duties {
+    fn flag(&self, topic: Topic) -> &AtomicBool {
+        match topic {
+            Topic::Table => &self.table,
+            Topic::Rollouts => &self.rollouts,
+        }
+    }
+
+    /// Returns whether a topic is this proxy's to follow.
+    pub fn is_mine(&self, topic: Topic) -> bool {
+        self.flag(topic).load(Ordering::Relaxed)
+    }
+
+    /// Takes a topic on, or leaves it to others.
+    pub fn set(&self, topic: Topic, is_mine: bool) {
+        self.flag(topic).store(is_mine, Ordering::Relaxed);
+    }
+}
+
 /// Budget of bytes of messages that are held in memory.
 #[derive(Debug)]
 pub struct HeldBytes {
--- a/crates/traffic/src/placement.rs
+++ b/crates/traffic/src/placement.rs
@@ -13,6 +13,8 @@
 //! - A server that nobody used for a while: its report fades, so it is tried again.
 //! - A server that fails part of its requests: the failures weigh on its score and do not exclude
 //!   it, so that the load never falls on a few servers only.
+//! - A server behind a thin link or on a slow instance: the time that offers spend outside its gate
+//!   counts like its own.
 //! - A server that cannot be reached: it is left out for a time that doubles, unless every server
 //!   is in that state.
 
@@ -26,6 +28,8 @@
 const FIRST_GUESS: f64 = 60.0;
 /// Weight of the newest outcome in the share of failures.
 const FAILURE_WEIGHT: f64 = 0.1;
+/// Weight of the newest offer in the usual time of transit, as a divisor.
+const TRANSIT_SMOOTHING: f64 = 8.0;
 /// Weight of failures on the score: a server that always fails looks this many times slower.
 const FAILURE_COST: f64 = 8.0;
 /// Factor on the usual time of a server that has not been measured, so that a new server is tried
@@ -49,6 +53,15 @@
     pub is_near: bool,
 }
 
+/// What came back with the end of an offer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Report {
+    /// Load of the server.
+    pub load: LoadReport,
+    /// Time that the offer spent outside the gate: on the links, and waiting for a processor.
+    pub transit: Millis,
+}
+
 /// How an offer ended, as far as the server's health goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OfferEnd {
@@ -72,6 +85,7 @@
     report: LoadReport,
     reported_at: Millis,
     sent_since: u32,
+    transit: f64,
     failures: f64,
     ejections: u32,
     ejected_until: Millis,
@@ -148,12 +162,10 @@
     fn score(&self, now: Millis, candidate: &Candidate, common: f64, distance: Millis) -> f64 {
         let usual = self.usual(candidate, common);
         let wait = self.expected_wait(now, candidate, usual);
-        let failures = self
-            .loads
-            .get(&candidate.instance)
-            .map_or(0.0, |l| l.failures);
+        let load = self.loads.get(&candidate.instance);
+        let (failures, transit) = load.map_or((0.0, 0.0), |l| (l.failures, l.transit));
         let far = if candidate.is_near { 0 } else { distance.0 };
-        (wait + usual) * (1.0 + FAILURE_COST * failures) + far as f64
+        (wait + usual) * (1.0 + FAILURE_COST * failures) + transit + far as f64
     }
 
     fn usual(&self, candidate: &Candidate, common: f64) -> f64 {
@@ -207,7 +219,7 @@
         now: Millis,
         instance: InstanceId,
         end: OfferEnd,
-        report: Option<LoadReport>,
+        report: Option<Report>,
     ) {
         let Some(load) = self.loads.get_mut(&instance) else {
             return;
@@ -215,7 +227,8 @@
         debug_assert!(load.in_flight > 0);
         load.in_flight = load.in_flight.saturating_sub(1);
         if let Some(report) = report {
-            load.report = report;
+            load.report = report.load;
+            load.transit += (report.transit.0 as f64 - load.transit) / TRANSIT_SMOOTHING;
             load.reported_at = now;
             load.sent_since = 0;
         }
--- a/crates/traffic/tests/placement.rs
+++ b/crates/traffic/tests/placement.rs
@@ -2,6 +2,7 @@
 
 use rf_base::{InstanceId, Millis, SeededRandom};
 use rf_protocol::relay::LoadReport;
+use rf_traffic::placement::Report;
 use rf_traffic::{Candidate, OfferEnd, Placement};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -13,13 +14,30 @@
     }
 }
 
-fn report(running: u32, usual: u64) -> Option<LoadReport> {
-    Some(LoadReport {
+fn report(running: u32, usual: u64) -> Option<Report> {
+    let load = LoadReport {
         running,
         waiting: 0,
         slots: 4,
         usual: Millis(usual),
-    })
+    };
+    let transit = Millis::ZERO;
+    Some(Report { load, transit })
+}
+
+#[test]
+fn a_server_behind_a_thin_link_gets_less() {
+    let mut placement = new_placement();
+    for _ in 0..20 {
+        let thin = report(0, 100).map(|r| Report {
+            transit: Millis(150),
+            ..r
+        });
+        learn(&mut placement, 1, OfferEnd::Good, thin);
+        learn(&mut placement, 2, OfferEnd::Good, report(0, 140));
+    }
+    let candidates = [candidate(1, true), candidate(2, true)];
+    assert_eq!(place(&mut placement, 1, &candidates), InstanceId(2));
 }
 
 fn place(placement: &mut Placement, now: u64, candidates: &[Candidate]) -> InstanceId {
@@ -30,7 +48,7 @@
 }
 
 /// Tells the placement of one answer from `id`.
-fn learn(placement: &mut Placement, id: u64, end: OfferEnd, load: Option<LoadReport>) {
+fn learn(placement: &mut Placement, id: u64, end: OfferEnd, load: Option<Report>) {
     let only = [candidate(id, true)];
     let chosen = place(placement, 0, &only);
     placement.finish(Millis(0), chosen, end, load);
