Refuse long answers where the link of an instance is busy

Ruled out: refusing by the patience of any request.

Change: Link counts the bytes still to be sent, with those of running requests; an answer from 16 KB on is refused where 250 ms of bytes are before it.

--- a/crates/config/src/proxy.rs
+++ b/crates/config/src/proxy.rs
@@ -107,6 +107,8 @@
     pub memory: u64,
     /// Descriptors.
     pub descriptors: u64,
+    /// Link of the instance, in megabits a second.
+    pub link: f64,
 }
 
 impl ProcessLimits {
@@ -165,6 +167,7 @@
             self.limits.descriptors >= 64,
             "limits.descriptors: below 64",
         );
+        demand(self.limits.link > 0.0, "limits.link: is not positive");
         let bounds = &self.bounds;
         demand(
             (0.0..=1.0).contains(&bounds.repeat_share),
--- a/crates/protocol/src/relay.rs
+++ b/crates/protocol/src/relay.rs
@@ -35,6 +35,8 @@
     pub left: Millis,
     /// Longest wait for a slot.
     pub patience: Millis,
+    /// Usual length of the answers on its route, in bytes.
+    pub expected: u64,
 }
 
 /// A request as it is handed to a backend server, without what concerns one connection.
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -9,13 +9,19 @@
 use async_channel::bounded;
 use async_std::net::TcpListener;
 use futures_lite::FutureExt;
-use rf_base::Counter;
+use rf_base::{Counter, Millis};
 use rf_config::Repeat;
-use rf_protocol::relay::{AttemptEnd, AttemptOrder, RelayReply, RelayRequest};
+use rf_protocol::relay::{AttemptEnd, AttemptOrder, Rejection, RelayReply, RelayRequest};
+use rf_traffic::Commitment;
 use rf_transport::h1::{Connection, ReadError, ReadLimits, ResponseHead, frame_request};
 use std::sync::Arc;
 use tracing::{debug, warn};
 
+/// Length from which an answer is refused where the link is busy, in bytes. Shorter ones hardly load
+/// it, and are worth more.
+const LONG_ANSWER: u64 = 16 * 1024;
+/// Time that the bytes before a long answer may take.
+const MAX_BACKLOG: Millis = Millis(250);
 /// Bytes that a proxy may send ahead while its attempt runs.
 const AHEAD: usize = 64 * 1024;
 
@@ -42,7 +48,7 @@
                 return;
             }
         };
-        let Some(reply) = answer(&shared, &mut connection, message).await else {
+        let Some((reply, _commitment)) = answer(&shared, &mut connection, message).await else {
             return;
         };
         if write_reply(&mut connection, &reply).await.is_err() {
@@ -69,38 +75,72 @@
     connection.write(&bytes).await
 }
 
+/// A reply, and its bytes on this instance's link until it is written.
+type Answer = (RelayReply, Option<Commitment>);
+
 /// Answers a message; `None` where its sender went away.
 async fn answer<D: Dialect>(
     shared: &Shared<D>,
     connection: &mut Connection,
     message: RelayRequest,
-) -> Option<RelayReply> {
-    match message {
+) -> Option<Answer> {
+    let reply = match message {
         RelayRequest::Attempt(order) => {
-            let start = shared.now();
-            let end = run_attempt(shared, connection, &order).await?;
-            let spent = shared.now().since(start);
-            Some(RelayReply::Attempt(end, shared.gate.load(), spent))
+            return answer_attempt(shared, connection, &order).await;
         }
-        RelayRequest::Ask(key) => Some(RelayReply::Ask(shared.gate.ask(&key))),
+        RelayRequest::Ask(key) => RelayReply::Ask(shared.gate.ask(&key)),
         RelayRequest::Exchange(exchange, news) => {
             let (sender, receiver) = bounded(1);
             shared.tell(Event::Exchange(exchange, news, sender));
             let (reply, news) = receiver.recv().await.ok()?;
-            Some(RelayReply::Exchange(Box::new(reply), Box::new(news)))
+            RelayReply::Exchange(Box::new(reply), Box::new(news))
         }
         RelayRequest::Tell(member) => {
             shared.tell(Event::Told(member));
-            Some(RelayReply::Done)
+            RelayReply::Done
         }
         RelayRequest::Observe(trial) => {
             shared.tell(Event::Observed(trial));
-            Some(RelayReply::Done)
+            RelayReply::Done
         }
-        RelayRequest::Fetch(version) => Some(RelayReply::Table(newer_table(shared, version))),
+        RelayRequest::Fetch(version) => RelayReply::Table(newer_table(shared, version)),
+    };
+    Some((reply, None))
+}
+
+/// Commits the link to an answer; a long one is refused where others are still to be sent.
+fn admit<D>(shared: &Shared<D>, order: &AttemptOrder) -> Result<Commitment, Millis> {
+    let expected = order.terms.expected;
+    match expected < LONG_ANSWER {
+        true => Ok(shared.link.commit(expected)),
+        false => shared.link.admit(expected, MAX_BACKLOG),
     }
 }
 
+async fn answer_attempt<D: Dialect>(
+    shared: &Shared<D>,
+    connection: &mut Connection,
+    order: &AttemptOrder,
+) -> Option<Answer> {
+    let start = shared.now();
+    let admitted = admit(shared, order);
+    let (end, commitment) = match admitted {
+        Ok(commitment) => {
+            let end = run_attempt(shared, connection, order).await?;
+            (end, Some(commitment))
+        }
+        Err(room) => {
+            let rejection = Rejection::Busy(room);
+            let runs = &shared.metrics.runs;
+            runs.with_label_values(&["link-full"]).inc();
+            (AttemptEnd::NotRun(rejection), None)
+        }
+    };
+    let spent = shared.now().since(start);
+    let reply = RelayReply::Attempt(end, shared.gate.load(), spent);
+    Some((reply, commitment))
+}
+
 fn newer_table<D>(shared: &Shared<D>, version: Counter) -> Option<Box<rf_config::RouteTable>> {
     let view = shared.view.load();
     let is_newer = view.table.version > version;
--- a/crates/proxy/src/pursue.rs
+++ b/crates/proxy/src/pursue.rs
@@ -293,6 +293,7 @@
                 target: if self.is_nested { left } else { to_target },
                 left,
                 patience,
+                expected: shared.answer_bytes(&self.route.name) as u64,
             },
             service: self.service.clone(),
             version: target.version.clone(),
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -9,7 +9,7 @@
 use async_channel::Sender;
 use rf_base::{AttemptId, Clock, Incarnation, InstanceId, Millis, SeededRandom, ServiceName};
 use rf_config::ProxySettings;
-use rf_traffic::{Placement, RetryBudget, Shares, StrikeBook};
+use rf_traffic::{Link, Placement, RetryBudget, Shares, StrikeBook};
 use rf_transport::h1::{Pool, PoolSettings};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -57,6 +57,8 @@
     pub duties: Duties,
     /// Metrics.
     pub metrics: Metrics,
+    /// The link of this instance.
+    pub link: Link,
     /// Bytes of requests and answers that are held.
     pub held: HeldBytes,
     placement: Mutex<Placement>,
@@ -102,6 +104,7 @@
             }),
             duties: Duties::default(),
             metrics: Metrics::new(),
+            link: Link::new(settings.limits.link),
             held: HeldBytes::new(settings.limits.held_bytes()),
             placement: Mutex::new(Placement::new(fork())),
             shares: Mutex::new(Shares::new(fork())),
--- a/crates/standin/src/users/mesh.rs
+++ b/crates/standin/src/users/mesh.rs
@@ -398,6 +398,7 @@
         limits: ProcessLimits {
             memory: 256,
             descriptors: 4096,
+            link: 1000.0,
         },
         bounds: Bounds {
             drain: Millis(2000),
