--- /dev/null
+++ b/crates/proxy/tests/control.rs
@@ -0,0 +1,138 @@
+//! The control machine on a virtual clock: tables, orders, and who follows the store.
+
+use rf_base::{Counter, Incarnation, Millis, SeededRandom, ServiceName};
+use rf_config::{Rollout, RolloutState, RouteTable};
+use rf_protocol::relay::OrderNews;
+use rf_proxy::control::machine::ControlSettings;
+use rf_proxy::control::orders::{Orders, VersionRule};
+use rf_proxy::control::{Action, Control, Event};
+use rf_proxy::source::{Snapshot, Topic};
+
+const START: Millis = Millis(1_000_000);
+
+fn at(offset: u64) -> Millis {
+    START + Millis(offset)
+}
+
+fn control() -> Control {
+    let settings = ControlSettings {
+        name: "a".to_owned(),
+        zone: "z".into(),
+        region: "r".to_owned(),
+        relay: "10.0.0.1:1".parse().expect("an address"),
+        life: Incarnation(START.0),
+        started: START,
+    };
+    Control::new(settings, SeededRandom::new(1))
+}
+
+fn stored(version: u64) -> Event {
+    let table = RouteTable {
+        version: Counter(version),
+        ..RouteTable::default()
+    };
+    Event::Stored(Box::new(Snapshot {
+        table: Some(table),
+        ..Snapshot::default()
+    }))
+}
+
+fn adopted(actions: &[Action]) -> Vec<u64> {
+    let version = |action: &Action| match action {
+        Action::Adopted(table) => Some(table.version.0),
+        _ => None,
+    };
+    actions.iter().filter_map(version).collect()
+}
+
+fn followed(actions: &[Action]) -> Vec<(Topic, bool)> {
+    let duty = |action: &Action| match action {
+        Action::Follow(topic, is_mine) => Some((*topic, *is_mine)),
+        _ => None,
+    };
+    actions.iter().filter_map(duty).collect()
+}
+
+#[test]
+fn a_table_is_never_replaced_by_an_older_one() {
+    let mut control = control();
+    assert_eq!(adopted(&control.handle(at(0), stored(5))), [5]);
+    assert_eq!(adopted(&control.handle(at(1), stored(4))), [0u64; 0]);
+    assert_eq!(adopted(&control.handle(at(2), stored(5))), [0u64; 0]);
+    assert_eq!(adopted(&control.handle(at(3), stored(9))), [9]);
+}
+
+#[test]
+fn a_new_proxy_waits_for_its_neighbours_before_it_reads_the_store() {
+    let mut control = control();
+    let early = control.handle(at(100), Event::Tick(Vec::new()));
+    assert_eq!(followed(&early), []);
+    let later = control.handle(at(400), Event::Tick(Vec::new()));
+    assert_eq!(
+        followed(&later),
+        [(Topic::Table, true), (Topic::Rollouts, true)]
+    );
+}
+
+fn rollout(order: u64, revision: u64, state: RolloutState) -> Rollout {
+    Rollout {
+        service: "a".into(),
+        version: "v2".into(),
+        duration: Millis(12_000),
+        state,
+        order,
+        revision,
+    }
+}
+
+fn rule(orders: &Orders) -> VersionRule {
+    orders.rule(&ServiceName::from("a"))
+}
+
+#[test]
+fn one_proxy_that_stops_an_order_stops_it_everywhere() {
+    let mut orders = Orders::default();
+    assert!(orders.store(at(0), &rollout(3, 3, RolloutState::Running)));
+    assert!(matches!(rule(&orders), VersionRule::Try { .. }));
+    let news = OrderNews {
+        rollout: rollout(3, 3, RolloutState::Running),
+        age: Millis(500),
+        is_stopped: true,
+        promoted: None,
+    };
+    assert!(orders.hear(at(100), &news));
+    assert_eq!(rule(&orders), VersionRule::Except("v2".into()));
+    assert!(!orders.hear(at(200), &news), "the same news change nothing");
+}
+
+#[test]
+fn a_final_state_is_not_left_for_late_news() {
+    let mut orders = Orders::default();
+    orders.store(at(0), &rollout(3, 3, RolloutState::Running));
+    orders.store(at(10), &rollout(3, 8, RolloutState::RolledBack));
+    let late = OrderNews {
+        rollout: rollout(3, 3, RolloutState::Running),
+        age: Millis(50),
+        is_stopped: false,
+        promoted: Some(Millis(10)),
+    };
+    orders.hear(at(20), &late);
+    assert_eq!(rule(&orders), VersionRule::Except("v2".into()));
+}
+
+#[test]
+fn the_age_of_an_order_is_the_greatest_that_anyone_knows() {
+    let mut orders = Orders::default();
+    orders.store(at(5000), &rollout(3, 3, RolloutState::Running));
+    let news = OrderNews {
+        rollout: rollout(3, 3, RolloutState::Running),
+        age: Millis(4000),
+        is_stopped: false,
+        promoted: None,
+    };
+    orders.hear(at(5100), &news);
+    let VersionRule::Try { since, .. } = rule(&orders) else {
+        panic!("expected a trial");
+    };
+    assert_eq!(since, at(1100));
+}
