--- a/crates/traffic/src/admission.rs
+++ b/crates/traffic/src/admission.rs
@@ -9,8 +9,9 @@
 //! - Lasting overload: requests that can still be answered within their target go before those
 //!   that cannot, so a queue that has grown does not make every later answer late as well.
 //! - A burst on one class: the more urgent class overtakes in the queue and never waits behind it.
-//! - Calls of running requests: they come with the rank of their route, and a refused one wastes
-//!   its parent's slot, so their patience is set by their sender and not cut here.
+//! - Calls of running requests: their sender ranks them first and lets them wait as long as the run
+//!   that made them can, since a refused one wastes that run.
+//! - Requests that no server had room for in time: they are spare, and take only what others leave.
 //!
 //! Invariants: `running` exceeds `slots` only after the slots were reduced, and no request waits
 //! while a slot is free.
