--- a/crates/proxy/src/control/machine.rs
+++ b/crates/proxy/src/control/machine.rs
@@ -74,7 +74,6 @@
     duties: BTreeSet<Topic>,
     fetch_until: Millis,
     started: Millis,
-    is_stopping: bool,
     published: View,
     random: SeededRandom,
 }
@@ -112,7 +111,6 @@
             duties: BTreeSet::new(),
             fetch_until: Millis::ZERO,
             started: settings.started,
-            is_stopping: false,
             published: View::default(),
             random,
         }
@@ -404,7 +402,6 @@
     }
 
     fn stop(&mut self, now: Millis, actions: &mut Vec<Action>) {
-        self.is_stopping = true;
         self.membership.update_me(now, |me| me.leaving = true);
         self.tell_all(actions);
     }
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -8,6 +8,7 @@
 use crate::control::Event;
 use crate::dialect::Dialect;
 use crate::gate::Pass;
+use crate::pursue::describe;
 use crate::shared::Shared;
 use async_std::future::timeout;
 use futures_lite::{AsyncWriteExt, FutureExt, future};
@@ -70,20 +71,16 @@
     instance: &str,
     span: Millis,
 ) {
-    let (kind, name) = match end {
-        AttemptEnd::Answered(_) => ("answered", "answered"),
-        AttemptEnd::NotRun(r) => ("not-run", r.as_str()),
-        AttemptEnd::MayHaveRun(l) => ("may-have-run", l.as_str()),
-    };
-    shared.metrics.runs.with_label_values(&[name]).inc();
-    if kind != "answered" {
+    let (verdict, reason) = describe(end);
+    shared.metrics.runs.with_label_values(&[reason]).inc();
+    if !matches!(end, AttemptEnd::Answered(_)) {
         info!(
             event = "run.ended",
             request = order.request,
             attempt = %order.key.id,
             instance,
-            verdict = kind,
-            reason = name,
+            verdict,
+            reason,
             after = span.0,
             left = order.terms.left.0,
         );
