Fetch tables as patches from any neighbour; share the link by turns

One neighbour was asked for a whole table of 800 routes with 500 ms to answer; a timeout dropped the connection and waited for the next news to ask again. (2) Long answers filled thin links, and short ones queued behind them. (3) A request that nobody had room for was offered to one busy instance after the other (up to 2.9 s). (4) The trial's shares were constants that fit a cap of 0.1 only; bounds.drain and bounds.rollback were read nowhere. (5) The view was computed after each event; "daemon is unreachable" was logged once per alert.

Ruled out: a lost watch (the store was well, five others had the table).

Change: a table travels as the buckets of routes that differ, checked by a digest; the next neighbour is asked beside a slow one and at once after a failed one; a proxy that is behind for 900 ms reads the store itself. Long answers take turns and are sent in pieces at the pace of the link. Rounds of offers are bounded by refusals and by time, and Retry-After is never below what the refusing gates said. trialShare decides the shares; the two unread settings are gone. The view is computed when its basis changed. relayPublic names the address of the relay where a path in between has another one.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod mesh;
 pub mod moves;
 pub mod parse;
+pub mod patch;
 pub mod proxy;
 pub mod routes;
 pub mod settings;
@@ -16,6 +17,7 @@
 pub use mesh::{MeshConfig, Policy, Route, Service, VersionSpec};
 pub use moves::{Intent, Move, MoveState, Outcome, Plan, Step};
 pub use parse::{ParseError, from_json};
+pub use patch::{TableDigest, TablePatch};
 pub use proxy::ProxySettings;
 pub use routes::{CallerLimits, Part, PathRoute, Repeat, Rollout, RolloutState, RouteTable};
 pub use settings::Settings;
--- a/crates/config/src/proxy.rs
+++ b/crates/config/src/proxy.rs
@@ -47,6 +47,9 @@
     pub callers: SocketAddr,
     /// Attempts and messages of other proxies.
     pub relay: SocketAddr,
+    /// Address at which other proxies reach `relay`, where it is another one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub relay_public: Option<SocketAddr>,
     /// Readiness and metrics.
     pub readiness: SocketAddr,
     /// Announcements of the backend server.
@@ -78,6 +81,13 @@
     pub distance: f64,
 }
 
+impl ProxyListen {
+    /// Returns the address at which other proxies reach this one.
+    pub fn reachable_relay(&self) -> SocketAddr {
+        self.relay_public.unwrap_or(self.relay)
+    }
+}
+
 impl Default for LoadPolicy {
     fn default() -> Self {
         LoadPolicy {
@@ -130,9 +140,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "camelCase")]
 pub struct Bounds {
-    /// Time after which a leaving backend server gets no more requests.
-    #[serde_as(as = "SpanText")]
-    pub drain: Millis,
     /// Time from the signal to stop until the process is killed.
     #[serde_as(as = "SpanText")]
     pub grace: Millis,
@@ -142,9 +149,6 @@
     pub repeat_slack: f64,
     /// Share of a service's requests that an unproven version may get.
     pub trial_share: f64,
-    /// Time within which a bad version must get nothing more.
-    #[serde_as(as = "SpanText")]
-    pub rollback: Millis,
 }
 
 impl ProxySettings {
--- /dev/null
+++ b/crates/config/tests/patch.rs
@@ -0,0 +1,101 @@
+//! Patches of route tables.
+
+use proptest::prelude::*;
+use rf_base::{Counter, Millis};
+use rf_config::patch::{PatchError, TableDigest, TablePatch};
+use rf_config::{Part, PathRoute, Repeat, RouteTable};
+
+fn route(prefix: &str, service: &str, timeout: u64) -> PathRoute {
+    PathRoute {
+        name: format!("route {prefix}"),
+        prefix: prefix.to_owned(),
+        repeat: Repeat::Idempotent,
+        attempts: 2,
+        timeout: Millis(timeout),
+        target: Millis(500),
+        priority: 1,
+        parts: vec![Part {
+            service: service.into(),
+            weight: 1,
+        }],
+    }
+}
+
+/// Makes a table of the routes (host, prefix, service, timeout); the last of a host and prefix wins.
+fn table(version: u64, routes: &[(u8, u16, u8, u16)]) -> RouteTable {
+    let mut table = RouteTable {
+        version: Counter(version),
+        ..RouteTable::default()
+    };
+    for (host, prefix, service, timeout) in routes {
+        let prefix = format!("/p{prefix}/");
+        let all = table.hosts.entry(format!("h{host}.example")).or_default();
+        all.retain(|r| r.prefix != prefix);
+        all.push(route(&prefix, &format!("s{service}"), u64::from(*timeout)));
+    }
+    for routes in table.hosts.values_mut() {
+        routes.sort_by(|a, b| a.prefix.cmp(&b.prefix));
+    }
+    table.sort();
+    table
+}
+
+fn canonical(table: &RouteTable) -> RouteTable {
+    let mut table = table.clone();
+    for routes in table.hosts.values_mut() {
+        routes.sort_by(|a, b| a.prefix.cmp(&b.prefix));
+    }
+    table
+}
+
+fn patch(newer: &RouteTable, base: &TableDigest) -> TablePatch {
+    TablePatch::new(newer, &TableDigest::of(newer), base)
+}
+
+#[test]
+fn one_changed_route_of_a_large_table_is_a_small_patch() {
+    let routes: Vec<(u8, u16, u8, u16)> = (0..1000).map(|n| (1, n, 1, 900)).collect();
+    let old = table(1, &routes);
+    let mut changed = routes;
+    changed[500].3 = 1200;
+    let new = table(2, &changed);
+    let patch = patch(&new, &TableDigest::of(&old));
+    assert_eq!(patch.buckets.len(), 1);
+    let sent: usize = patch.routes.values().map(Vec::len).sum();
+    assert!(sent < 50, "{sent} of 1000 routes were sent");
+    assert_eq!(
+        canonical(&patch.apply(&old).expect("it fits")),
+        canonical(&new)
+    );
+}
+
+#[test]
+fn a_patch_for_another_table_is_refused() {
+    let old = table(1, &[(1, 1, 1, 900), (1, 2, 1, 900), (1, 3, 1, 900)]);
+    let new = table(3, &[(1, 1, 2, 900), (1, 2, 1, 900), (1, 3, 1, 900)]);
+    let other = table(2, &[(1, 1, 1, 900), (1, 2, 1, 700), (1, 3, 1, 900)]);
+    let patch = patch(&new, &TableDigest::of(&old));
+    assert_eq!(patch.apply(&other), Err(PatchError::ForeignBase));
+}
+
+#[test]
+fn an_empty_digest_asks_for_the_whole_table() {
+    let new = table(3, &[(1, 1, 2, 900), (2, 2, 1, 900)]);
+    let patch = patch(&new, &TableDigest::default());
+    let built = patch.apply(&RouteTable::default()).expect("it fits");
+    assert_eq!(canonical(&built), canonical(&new));
+}
+
+proptest! {
+    #[test]
+    fn a_patch_turns_any_table_into_any_other(
+        old in prop::collection::vec((0u8..3, 0u16..200, 0u8..4, 100u16..3000), 0..150),
+        new in prop::collection::vec((0u8..3, 0u16..200, 0u8..4, 100u16..3000), 0..150),
+    ) {
+        let old = table(1, &old);
+        let new = table(2, &new);
+        let patch = patch(&new, &TableDigest::of(&old));
+        let built = patch.apply(&old).expect("it fits");
+        prop_assert_eq!(canonical(&built), canonical(&new));
+    }
+}
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -345,10 +345,12 @@
             self.refute(now, alert.incarnation, alert.seq + 1);
             return;
         }
+        let was_reachable = self.roster.reachability(alert.subject) == Reachability::Reachable;
         if !self.roster.merge_alert(now, alert) {
             return;
         }
-        if self.roster.reachability(alert.subject) == Reachability::Unreachable {
+        let is_reachable = self.roster.reachability(alert.subject) == Reachability::Reachable;
+        if was_reachable && !is_reachable {
             info!(subject = %alert.subject, "daemon is unreachable");
         }
         for (id, link) in &mut self.links {
--- a/crates/protocol/src/relay.rs
+++ b/crates/protocol/src/relay.rs
@@ -6,7 +6,7 @@
 use crate::member::Member;
 use crate::message::{Exchange, ExchangeReply, Strike};
 use rf_base::{AttemptId, Counter, Incarnation, InstanceId, Millis, ServiceName, VersionName};
-use rf_config::{Repeat, Rollout, RouteTable};
+use rf_config::{Repeat, Rollout, TableDigest, TablePatch};
 use serde::{Deserialize, Serialize};
 
 /// Identity of an attempt.
@@ -264,8 +264,8 @@
     Ask(AttemptKey),
     /// Heartbeat, descriptions of daemons, and news.
     Exchange(Box<Exchange>, Box<News>),
-    /// Send the route table if it is newer than this version.
-    Fetch(Counter),
+    /// Send what makes the replier's route table of the one with this version and digest.
+    Fetch(Counter, TableDigest),
     /// A description that must be known at once, as a backend server leaves.
     Tell(Box<Member>),
     /// Observations of a version change, for those who judge it.
@@ -281,8 +281,8 @@
     Ask(LedgerAnswer),
     /// The replier's heartbeat and news.
     Exchange(Box<ExchangeReply>, Box<News>),
-    /// A newer route table.
-    Table(Option<Box<RouteTable>>),
+    /// What makes a newer route table, if the replier has one.
+    Table(Option<Box<TablePatch>>),
     /// Taken in.
     Done,
 }
--- a/crates/proxy/src/control/driver.rs
+++ b/crates/proxy/src/control/driver.rs
@@ -23,6 +23,8 @@
 const TICK: Millis = Millis(100);
 /// Longest wait for the reply to a message.
 const MESSAGE_TIME: Millis = Millis(500);
+/// Longest wait for a route table. A whole one is many packets, and the links may be full.
+const TABLE_TIME: Millis = Millis(2000);
 /// Time between two rounds of closing idle connections.
 const PRUNE_PAUSE: Millis = Millis(5000);
 
@@ -123,7 +125,11 @@
         let events = self.events.clone();
         task::spawn(async move {
             let sending = relay::send(&shared.relays, target.address, &request);
-            let reply = match timeout(MESSAGE_TIME.duration(), sending).await {
+            let limit = match kind {
+                Kind::Fetch => TABLE_TIME,
+                _ => MESSAGE_TIME,
+            };
+            let reply = match timeout(limit.duration(), sending).await {
                 Ok(Ok(reply)) => Some(reply),
                 Ok(Err(error)) => {
                     debug!(event = "message.failed", address = %target.address, %error);
--- a/crates/proxy/src/control/machine.rs
+++ b/crates/proxy/src/control/machine.rs
@@ -5,11 +5,14 @@
 //! the store. Whatever changes them leads to a new [`View`] for the traffic half.
 
 use super::event::{Action, Event, ExchangeSender, Kind};
+use super::fetch::TableFetch;
 use super::orders::{Orders, VersionRule};
 use crate::source::{ProxyEntry, Snapshot, Topic};
 use crate::view::{ServiceView, Target as ServerTarget, TrialView, View};
-use rf_base::{Incarnation, InstanceId, Millis, SeededRandom, ServiceName, VersionName, ZoneName};
-use rf_config::RouteTable;
+use rf_base::{
+    Counter, Incarnation, InstanceId, Millis, SeededRandom, ServiceName, VersionName, ZoneName,
+};
+use rf_config::{RouteTable, TableDigest, TablePatch};
 use rf_membership::overlay::compute_ranked;
 use rf_membership::{Membership, MembershipSettings, Target};
 use rf_protocol::relay::{News, RelayReply, RelayRequest, Trial};
@@ -38,8 +41,6 @@
 const STORE_STALE: Millis = Millis(6000);
 /// Time that a new proxy waits for its neighbours' table before it reads the store.
 const PATIENCE: Millis = Millis(350);
-/// Time after which a table that was asked for is asked for again.
-const FETCH_TIME: Millis = Millis(500);
 
 /// What the machine is told at its start.
 #[derive(Clone, Debug)]
@@ -58,11 +59,20 @@
     pub started: Millis,
 }
 
+/// Versions of everything that a view is computed from.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct ViewBasis {
+    roster: u64,
+    table: Counter,
+    orders: u64,
+}
+
 /// State of the control machine.
 #[derive(Debug)]
 pub struct Control {
     membership: Membership,
     table: Arc<RouteTable>,
+    digest: Arc<TableDigest>,
     orders: Orders,
     strikes: StrikeBook,
     /// Strikes that are told to others, with the time at which they were learnt.
@@ -72,9 +82,10 @@
     next_observe: Millis,
     store_seen: Millis,
     duties: BTreeSet<Topic>,
-    fetch_until: Millis,
+    fetch: TableFetch,
     started: Millis,
     published: View,
+    basis: ViewBasis,
     random: SeededRandom,
 }
 
@@ -102,6 +113,7 @@
         Control {
             membership,
             table: Arc::default(),
+            digest: Arc::default(),
             orders: Orders::default(),
             strikes: StrikeBook::default(),
             fresh_strikes: Vec::new(),
@@ -109,9 +121,10 @@
             next_observe: Millis::ZERO,
             store_seen: Millis::ZERO,
             duties: BTreeSet::new(),
-            fetch_until: Millis::ZERO,
+            fetch: TableFetch::default(),
             started: settings.started,
             published: View::default(),
+            basis: ViewBasis::default(),
             random,
         }
     }
@@ -175,6 +188,7 @@
             actions.push(Action::Record(Box::new(rollout), state));
         }
         self.send_trials(now, trials, actions);
+        self.fetch_table(now, actions);
         self.divide_duties(now, actions);
         self.fresh_strikes
             .retain(|(learnt, _)| now.since(*learnt) < STRIKE_NEWS);
@@ -218,11 +232,13 @@
     /// others do so too until it is known to answer.
     fn divide_duties(&mut self, now: Millis, actions: &mut Vec<Action>) {
         let is_stale = now.since(self.store_seen) >= STORE_STALE;
+        let is_behind = self.fetch.is_behind(now);
         let is_known = self.table.version.0 > 0;
         let is_early = !is_known && now.since(self.started) < PATIENCE;
         for topic in [Topic::Table, Topic::Rollouts] {
             let followers = self.rank(topic as u64 + 1, FOLLOWERS);
-            let is_mine = followers.contains(&self.id()) || is_stale || !is_known;
+            let is_late = topic == Topic::Table && is_behind;
+            let is_mine = followers.contains(&self.id()) || is_stale || is_late || !is_known;
             let is_mine = is_mine && !is_early;
             let was_mine = match is_mine {
                 true => !self.duties.insert(topic),
@@ -284,11 +300,18 @@
                 self.take_news(now, Some(target), &news, actions);
             }
             (Kind::Exchange, _) => self.membership.handle_failure(now, target),
-            (Kind::Fetch, Some(RelayReply::Table(Some(table)))) => {
-                self.fetch_until = Millis::ZERO;
-                self.adopt(now, *table, "proxy", actions);
+            (Kind::Fetch, Some(RelayReply::Table(Some(patch)))) => {
+                self.take_patch(now, target, &patch, actions);
+            }
+            (Kind::Fetch, _) => {
+                warn!(
+                    event = "table.not-fetched",
+                    address = %target.address,
+                    version = self.table.version.0,
+                );
+                self.fetch.fail(target);
+                self.fetch_table(now, actions);
             }
-            (Kind::Fetch, _) => self.fetch_until = Millis::ZERO,
             (Kind::Tell | Kind::Observe, _) => {}
         }
     }
@@ -313,15 +336,45 @@
             self.take_strike(now, strike, actions);
         }
         if news.table > self.table.version
-            && now >= self.fetch_until
             && let Some(target) = from
         {
-            self.fetch_until = now + FETCH_TIME;
-            let request = RelayRequest::Fetch(self.table.version);
+            self.fetch.hear(now, target, news.table);
+            self.fetch_table(now, actions);
+        }
+    }
+
+    /// Asks the next neighbour for its newer table, if one is to be asked now.
+    fn fetch_table(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        if let Some(target) = self.fetch.next(now) {
+            let digest = match self.fetch.is_whole() {
+                true => TableDigest::default(),
+                false => TableDigest::clone(&self.digest),
+            };
+            let request = RelayRequest::Fetch(self.table.version, digest);
             actions.push(Action::Send(target, Kind::Fetch, Box::new(request)));
         }
     }
 
+    fn take_patch(
+        &mut self,
+        now: Millis,
+        target: Target,
+        patch: &TablePatch,
+        actions: &mut Vec<Action>,
+    ) {
+        if patch.version <= self.table.version {
+            return;
+        }
+        match patch.apply(&self.table) {
+            Ok(table) => self.adopt(now, table, "proxy", actions),
+            Err(error) => {
+                info!(event = "table.unpatched", address = %target.address, %error);
+                self.fetch.want_whole();
+                self.fetch_table(now, actions);
+            }
+        }
+    }
+
     fn take_strike(&mut self, now: Millis, strike: &Strike, actions: &mut Vec<Action>) {
         if !self.strikes.merge(now, strike) {
             return;
@@ -364,7 +417,9 @@
             from,
             routes
         );
+        self.digest = Arc::new(TableDigest::of(&table));
         self.table = Arc::new(table);
+        self.fetch.adopt(now, self.table.version);
         self.membership.kick(now);
         actions.push(Action::Adopted(self.table.clone()));
     }
@@ -421,6 +476,15 @@
     }
 
     fn publish(&mut self, actions: &mut Vec<Action>) {
+        let basis = ViewBasis {
+            roster: self.membership.roster().revision(),
+            table: self.table.version,
+            orders: self.orders.revision(),
+        };
+        if basis == self.basis {
+            return;
+        }
+        self.basis = basis;
         let view = self.compute_view();
         if view == self.published {
             return;
@@ -451,6 +515,7 @@
             .collect();
         View {
             table: self.table.clone(),
+            digest: self.digest.clone(),
             services,
             proxies: roster.reachable().count(),
         }
--- a/crates/proxy/src/control/mod.rs
+++ b/crates/proxy/src/control/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod driver;
 pub mod event;
+pub mod fetch;
 pub mod machine;
 pub mod orders;
 pub mod sync;
--- a/crates/proxy/src/control/orders.rs
+++ b/crates/proxy/src/control/orders.rs
@@ -28,6 +28,7 @@
 pub struct Orders {
     orders: BTreeMap<ServiceName, Order>,
     trials: BTreeMap<(u64, InstanceId), Trial>,
+    revision: u64,
 }
 
 /// Which versions of a service may get requests.
@@ -53,6 +54,11 @@
 }
 
 impl Orders {
+    /// Returns a number that rises with each change of what [`Orders::rule`] returns.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// Takes in an order as the store has it; returns whether anything changed.
     pub fn store(&mut self, now: Millis, rollout: &Rollout) -> bool {
         self.merge(now, rollout, now)
@@ -78,6 +84,7 @@
             order.promoted = Some(Millis(now.0.saturating_sub(span.0)));
             changed = true;
         }
+        self.revision += u64::from(changed);
         changed
     }
 
@@ -86,6 +93,7 @@
         if let Some(order) = known
             && is_same(&order.rollout, rollout)
         {
+            self.revision += u64::from(seen < order.first_seen);
             order.first_seen = order.first_seen.min(seen);
             if rollout.revision <= order.rollout.revision {
                 return false;
@@ -101,6 +109,7 @@
                 state,
                 ..rollout.clone()
             };
+            self.revision += 1;
             return true;
         }
         let is_older = self
@@ -126,6 +135,7 @@
             next_record: now,
         };
         self.orders.insert(rollout.service.clone(), order);
+        self.revision += 1;
         true
     }
 
@@ -210,6 +220,7 @@
         }
         let running: BTreeSet<u64> = self.running().into_iter().collect();
         self.trials.retain(|(order, _), _| running.contains(order));
+        self.revision += u64::from(changed);
         (changed, records)
     }
 }
--- a/crates/proxy/src/ingress.rs
+++ b/crates/proxy/src/ingress.rs
@@ -98,7 +98,7 @@
     };
     let closes = !keeps_open || shared.is_stopping();
     let _commitment = shared.link.commit(response.body.len() as u64);
-    write_response(connection, response, closes, is_head).await
+    write_response(shared, connection, response, closes, is_head).await
 }
 
 /// A request that is not routed.
@@ -181,7 +181,7 @@
         head,
         body: Vec::new(),
     };
-    write_response(connection, response, true, false).await
+    write_response(shared, connection, response, true, false).await
 }
 
 /// A response to a caller.
@@ -190,7 +190,8 @@
     body: Vec<u8>,
 }
 
-async fn write_response(
+async fn write_response<D>(
+    shared: &Shared<D>,
     connection: &mut Connection,
     mut response: Response,
     closes: bool,
@@ -206,7 +207,7 @@
     if !is_head {
         bytes.append(&mut response.body);
     }
-    let result = connection.write(&bytes).await;
+    let result = shared.outlet.write(connection, &bytes).await;
     match result.is_ok() && !closes {
         true => Served::KeepOpen,
         false => Served::Close,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod pursue;
 pub mod relay;
 pub mod run;
+pub mod sending;
 pub mod shared;
 pub mod source;
 pub mod telemetry;
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -5,23 +5,19 @@
 use crate::listener::accept;
 use crate::relay::{self, MAX_MESSAGE};
 use crate::run;
+use crate::sending::LONG_ANSWER;
 use crate::shared::Shared;
 use async_channel::bounded;
 use async_std::net::TcpListener;
 use futures_lite::FutureExt;
 use rf_base::{Counter, Millis};
-use rf_config::Repeat;
+use rf_config::{Repeat, TableDigest, TablePatch};
 use rf_protocol::relay::{AttemptEnd, AttemptOrder, Rejection, RelayReply, RelayRequest};
 use rf_traffic::Commitment;
 use rf_transport::h1::{Connection, ReadError, ReadLimits, ResponseHead, frame_request};
 use std::sync::Arc;
 use tracing::{debug, warn};
 
-/// Length from which an answer is refused where the link is busy, in bytes. Shorter ones hardly load
-/// it, and are worth more.
-const LONG_ANSWER: u64 = 16 * 1024;
-/// Time that the bytes before a long answer may take.
-const MAX_BACKLOG: Millis = Millis(250);
 /// Bytes that a proxy may send ahead while its attempt runs.
 const AHEAD: usize = 64 * 1024;
 
@@ -51,7 +47,7 @@
         let Some((reply, _commitment)) = answer(&shared, &mut connection, message).await else {
             return;
         };
-        if write_reply(&mut connection, &reply).await.is_err() {
+        if write_reply(&shared, &mut connection, &reply).await.is_err() {
             return;
         }
     }
@@ -68,11 +64,15 @@
     relay::decode(&body).map_err(|e| malformed(e.to_string()))
 }
 
-async fn write_reply(connection: &mut Connection, reply: &RelayReply) -> std::io::Result<()> {
+async fn write_reply<D>(
+    shared: &Shared<D>,
+    connection: &mut Connection,
+    reply: &RelayReply,
+) -> std::io::Result<()> {
     let body = relay::encode(reply).map_err(std::io::Error::other)?;
     let mut bytes = ResponseHead::new(200).encode(Some(body.len()));
     bytes.extend_from_slice(&body);
-    connection.write(&bytes).await
+    shared.outlet.write(connection, &bytes).await
 }
 
 /// A reply, and its bytes on this instance's link until it is written.
@@ -103,18 +103,22 @@
             shared.tell(Event::Observed(trial));
             RelayReply::Done
         }
-        RelayRequest::Fetch(version) => RelayReply::Table(newer_table(shared, version)),
+        RelayRequest::Fetch(version, digest) => {
+            RelayReply::Table(make_patch(shared, version, &digest))
+        }
     };
     Some((reply, None))
 }
 
-/// Commits the link to an answer; a long one is refused where others are still to be sent.
+/// Commits the link to an answer. A long one is refused where the bytes before it take longer than
+/// the request may wait, its own run included, as they are sent meanwhile.
 fn admit<D>(shared: &Shared<D>, order: &AttemptOrder) -> Result<Commitment, Millis> {
     let expected = order.terms.expected;
-    match expected < LONG_ANSWER {
-        true => Ok(shared.link.commit(expected)),
-        false => shared.link.admit(expected, MAX_BACKLOG),
+    if expected < LONG_ANSWER {
+        return Ok(shared.link.commit(expected));
     }
+    let patience = order.terms.patience + shared.gate.load().usual;
+    shared.link.admit(expected, patience)
 }
 
 async fn answer_attempt<D: Dialect>(
@@ -141,10 +145,15 @@
     Some((reply, commitment))
 }
 
-fn newer_table<D>(shared: &Shared<D>, version: Counter) -> Option<Box<rf_config::RouteTable>> {
+/// Makes the patch from the table of the given version and digest to this proxy's, if that is newer.
+fn make_patch<D>(
+    shared: &Shared<D>,
+    version: Counter,
+    base: &TableDigest,
+) -> Option<Box<TablePatch>> {
     let view = shared.view.load();
     let is_newer = view.table.version > version;
-    is_newer.then(|| Box::new(rf_config::RouteTable::clone(&view.table)))
+    is_newer.then(|| Box::new(TablePatch::new(&view.table, &view.digest, base)))
 }
 
 /// Runs an attempt; one that waits, or may be repeated, ends when its sender goes away.
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -90,7 +90,7 @@
         let entry = ProxyEntry {
             instance: me,
             zone: settings.zone.clone(),
-            relay: listen.relay,
+            relay: listen.reachable_relay(),
             life,
         };
         let residence = Residence::new(settings.server.service.clone(), settings.server.address);
@@ -195,7 +195,7 @@
         name: settings.instance.clone(),
         zone: settings.zone.clone(),
         region: settings.region.clone(),
-        relay: settings.listen.relay,
+        relay: settings.listen.reachable_relay(),
         life,
         started,
     };
--- a/crates/proxy/src/pursue.rs
+++ b/crates/proxy/src/pursue.rs
@@ -25,8 +25,6 @@
 const HEAD_BYTES: f64 = 700.0;
 /// Shortest pause that a refused caller is told.
 const MIN_RETRY: Millis = Millis(50);
-/// Rounds of offers to all servers.
-const ROUNDS: u32 = 2;
 
 /// One request on its way.
 #[derive(Debug)]
@@ -120,19 +118,10 @@
     let (side, targets) = call.choose_side(shared);
     let candidates: Vec<Candidate> = targets.iter().map(|t| t.candidate).collect();
     let mut pursuit = Pursuit::new(call.route.repeat, call.route.attempts);
-    let mut is_last = false;
-    let mut rounds = 1;
     loop {
-        let distance = call.distance(shared);
         let now = shared.now();
-        let chosen = shared
-            .placement()
-            .choose(now, &candidates, pursuit.tried(), distance);
-        let Some(instance) = chosen else {
-            if rounds < ROUNDS && !candidates.is_empty() && pursuit.verdict() == Verdict::NotRun {
-                rounds += 1;
-                is_last = true;
-                pursuit.forget_tried();
+        let Some(instance) = call.choose(shared, now, &candidates, &pursuit) else {
+            if !candidates.is_empty() && pursuit.begin_round() {
                 continue;
             }
             return call.give_up(shared, pursuit, &candidates, None);
@@ -140,7 +129,7 @@
         let Some(target) = targets.iter().find(|t| t.instance == instance) else {
             return call.give_up(shared, pursuit, &candidates, None);
         };
-        let end = call.offer(shared, target, is_last).await;
+        let end = call.offer(shared, target, pursuit.is_last_round()).await;
         call.observe(shared, side, &end, now);
         if let AttemptEnd::Answered(answer) = &end
             && answer.status < 500
@@ -189,7 +178,8 @@
         let Some(trial) = &self.servers.trial else {
             return (None, &self.servers.targets);
         };
-        let share = share_at(shared.now().since(trial.since), trial.duration);
+        let cap = shared.settings.load().bounds.trial_share;
+        let share = share_at(shared.now().since(trial.since), trial.duration, cap);
         let side = match trial.targets.is_empty() {
             true => Side::Old,
             false => shared.trials().deal(trial.order, share),
@@ -200,6 +190,22 @@
         }
     }
 
+    /// Chooses the server for the next offer of this round.
+    fn choose<D>(
+        &self,
+        shared: &Shared<D>,
+        now: Millis,
+        candidates: &[Candidate],
+        pursuit: &Pursuit,
+    ) -> Option<InstanceId> {
+        if !self.is_nested && pursuit.is_round_over(now.since(self.start), self.route.target) {
+            return None;
+        }
+        let distance = self.distance(shared);
+        let mut placement = shared.placement();
+        placement.choose(now, candidates, pursuit.tried(), distance)
+    }
+
     fn observe<D>(
         &self,
         shared: &Shared<D>,
@@ -344,21 +350,23 @@
             Some(EndKind::NotRun(Rejection::Expired)) => Reason::Expired,
             _ => Reason::Busy,
         };
-        Final::Refused(reason, self.retry_time(shared, candidates))
+        let room = pursuit.room().unwrap_or_default();
+        Final::Refused(reason, self.retry_time(shared, candidates, room))
     }
 
-    /// Returns when room is expected; callers are spread over the time in which a slot gets free.
-    fn retry_time<D>(&self, shared: &Shared<D>, candidates: &[Candidate]) -> Millis {
+    /// Returns when room is expected, where the servers that refused expect it after `room` at the
+    /// earliest; callers are spread over the time in which a slot gets free.
+    fn retry_time<D>(&self, shared: &Shared<D>, candidates: &[Candidate], room: Millis) -> Millis {
         let now = shared.now();
-        let (room, usual) = {
+        let (expected, usual) = {
             let placement = shared.placement();
-            let room = placement.expected_room(now, candidates).unwrap_or_default();
+            let expected = placement.expected_room(now, candidates).unwrap_or_default();
             let usual = candidates
                 .first()
                 .map_or(Millis(300), |c| placement.usual_time(c));
-            (room, usual)
+            (expected, usual)
         };
-        let least = MIN_RETRY.max(room);
+        let least = MIN_RETRY.max(expected).max(room);
         least + shared.jitter(usual.max(MIN_RETRY))
     }
 }
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -3,6 +3,7 @@
 use crate::control::Event;
 use crate::gate::Gate;
 use crate::metrics::Metrics;
+use crate::sending::Outlet;
 use crate::source::Topic;
 use crate::view::View;
 use arc_swap::ArcSwap;
@@ -59,6 +60,8 @@
     pub metrics: Metrics,
     /// The link of this instance.
     pub link: Link,
+    /// Turns and pace of answers on it.
+    pub outlet: Outlet,
     /// Bytes of requests and answers that are held.
     pub held: HeldBytes,
     placement: Mutex<Placement>,
@@ -84,6 +87,7 @@
         life: Incarnation,
     ) -> Shared<D> {
         let me = InstanceId::of(&settings.instance);
+        let link = Link::new(settings.limits.link);
         let mut fork = || SeededRandom::new(random.bits());
         Shared {
             dialect,
@@ -104,7 +108,8 @@
             }),
             duties: Duties::default(),
             metrics: Metrics::new(),
-            link: Link::new(settings.limits.link),
+            outlet: Outlet::new(link.clone(), clock.clone()),
+            link,
             held: HeldBytes::new(settings.limits.held_bytes()),
             placement: Mutex::new(Placement::new(fork())),
             shares: Mutex::new(Shares::new(fork())),
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -1,7 +1,7 @@
 //! What the traffic half knows: an immutable view that the control half replaces whole.
 
 use rf_base::{Incarnation, InstanceId, Millis, ServiceName, VersionName};
-use rf_config::RouteTable;
+use rf_config::{RouteTable, TableDigest};
 use rf_traffic::Candidate;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -49,6 +49,8 @@
 pub struct View {
     /// Routes; of version 0 while none is known.
     pub table: Arc<RouteTable>,
+    /// Digest of the routes.
+    pub digest: Arc<TableDigest>,
     /// Backend servers by service.
     pub services: BTreeMap<ServiceName, ServiceView>,
     /// Proxies that are reachable, this one included.
--- a/crates/proxy/tests/control.rs
+++ b/crates/proxy/tests/control.rs
@@ -1,8 +1,11 @@
 //! The control machine on a virtual clock: tables, orders, and who follows the store.
 
-use rf_base::{Counter, Incarnation, Millis, SeededRandom, ServiceName};
+use rf_base::{Counter, Incarnation, InstanceId, Millis, SeededRandom, ServiceName};
 use rf_config::{Rollout, RolloutState, RouteTable};
-use rf_protocol::relay::OrderNews;
+use rf_membership::Target;
+use rf_protocol::relay::{News, OrderNews, RelayReply};
+use rf_protocol::{ExchangeReply, Member};
+use rf_proxy::control::event::Kind;
 use rf_proxy::control::machine::ControlSettings;
 use rf_proxy::control::orders::{Orders, VersionRule};
 use rf_proxy::control::{Action, Control, Event};
@@ -136,3 +139,82 @@
     };
     assert_eq!(since, at(1100));
 }
+
+fn member(number: u8) -> Member {
+    let address = neighbour(number).address;
+    Member {
+        id: InstanceId(u64::from(number)),
+        name: format!("n{number}"),
+        zone: "z".into(),
+        region: "r".to_owned(),
+        incarnation: Incarnation(1),
+        seq: 1,
+        peers: address,
+        relay: address,
+        server: None,
+        leaving: false,
+    }
+}
+
+fn neighbour(number: u8) -> Target {
+    let address = format!("10.0.0.{number}:1");
+    Target {
+        id: Some(InstanceId(u64::from(number))),
+        address: address.parse().expect("an address"),
+    }
+}
+
+/// The reply of a neighbour to an exchange, which tells that it has `version`.
+fn told(number: u8, version: u64) -> Event {
+    let reply = ExchangeReply::default();
+    let news = News {
+        table: Counter(version),
+        ..News::default()
+    };
+    let reply = RelayReply::Exchange(Box::new(reply), Box::new(news));
+    Event::Replied(neighbour(number), Kind::Exchange, Some(reply))
+}
+
+fn fetched(actions: &[Action]) -> Vec<Target> {
+    let target = |action: &Action| match action {
+        Action::Send(target, Kind::Fetch, _) => Some(*target),
+        _ => None,
+    };
+    actions.iter().filter_map(target).collect()
+}
+
+#[test]
+fn a_table_that_one_neighbour_does_not_send_is_had_from_the_next() {
+    let mut control = control();
+    control.handle(at(0), stored(5));
+    let first = control.handle(at(10), told(2, 7));
+    assert_eq!(fetched(&first), [neighbour(2)]);
+    assert_eq!(fetched(&control.handle(at(20), told(3, 7))), []);
+    let failed = Event::Replied(neighbour(2), Kind::Fetch, None);
+    let next = control.handle(at(300), failed);
+    assert_eq!(fetched(&next), [neighbour(3)]);
+    let slow = control.handle(at(320), told(4, 7));
+    assert_eq!(fetched(&slow), []);
+    let beside = control.handle(at(950), Event::Tick(Vec::new()));
+    assert_eq!(fetched(&beside), [neighbour(4)]);
+}
+
+#[test]
+fn a_proxy_that_stays_behind_reads_the_store_itself() {
+    let mut control = control();
+    control.handle(at(0), stored(5));
+    control.handle(at(0), Event::StoreAnswered);
+    let mut duties = Vec::new();
+    for other in 2..40 {
+        control.handle(at(5), Event::Told(Box::new(member(other))));
+    }
+    duties.extend(followed(&control.handle(at(10), Event::Tick(Vec::new()))));
+    control.handle(at(20), told(2, 7));
+    duties.extend(followed(&control.handle(at(500), Event::Tick(Vec::new()))));
+    assert!(!duties.contains(&(Topic::Table, true)), "others follow it");
+    let late = control.handle(at(1000), Event::Tick(Vec::new()));
+    assert_eq!(followed(&late), [(Topic::Table, true)]);
+    control.handle(at(1100), stored(7));
+    let level = control.handle(at(1200), Event::Tick(Vec::new()));
+    assert_eq!(followed(&level), [(Topic::Table, false)]);
+}
--- a/crates/rollout/src/trial.rs
+++ b/crates/rollout/src/trial.rs
@@ -15,12 +15,13 @@
 use rf_base::Millis;
 use rf_protocol::relay::{TrialCell, VersionCount};
 
-/// Share of requests in the trickle.
-const TRICKLE: f64 = 0.05;
-/// Share of requests in the probe.
+/// Part of the cap that the trickle uses.
+const TRICKLE_PART: f64 = 0.5;
+/// Share of requests in the probe, or the cap where that is higher.
 const PROBE: f64 = 0.6;
-/// Part of the requests of the whole duration that the probe may use.
-const PROBE_PART: f64 = 0.04;
+/// Part of the cap that the probe uses. With the trickle it leaves a tenth for requests that were
+/// counted late.
+const PROBE_PART: f64 = 0.4;
 /// Part of the duration at which the probe begins.
 const PROBE_START: f64 = 0.42;
 /// Part of the duration at which a version without blame is promoted.
@@ -73,20 +74,18 @@
     RollBack,
 }
 
-/// Returns the share of requests that the new version gets `age` after the order.
-pub fn share_at(age: Millis, duration: Millis) -> f64 {
-    let probe = probe_time(duration);
+/// Returns the share of requests that the new version gets `age` after the order, where it may get
+/// `cap` of those of the whole duration.
+pub fn share_at(age: Millis, duration: Millis, cap: f64) -> f64 {
+    let share = PROBE.max(cap);
+    let probe = part_of(duration, PROBE_PART * cap / share);
     let start = part_of(duration, PROBE_START);
     match age >= start && age < start + probe {
-        true => PROBE,
-        false => TRICKLE,
+        true => share,
+        false => TRICKLE_PART * cap,
     }
 }
 
-fn probe_time(duration: Millis) -> Millis {
-    part_of(duration, PROBE_PART / PROBE)
-}
-
 fn part_of(duration: Millis, part: f64) -> Millis {
     Millis((duration.0 as f64 * part) as u64)
 }
--- a/crates/rollout/tests/trial.rs
+++ b/crates/rollout/tests/trial.rs
@@ -52,12 +52,18 @@
 }
 
 #[test]
-fn the_whole_trial_exposes_less_than_a_tenth() {
+fn the_whole_trial_exposes_less_than_its_cap() {
     let steps = 1000;
     let step = DURATION.0 / steps;
-    let shares = (0..steps).map(|i| share_at(Millis(i * step), DURATION));
-    let exposed: f64 = shares.sum::<f64>() / steps as f64;
-    assert!(exposed < 0.1, "{exposed} of all requests");
+    for cap in [0.02, 0.05, 0.1, 0.3, 0.8, 1.0] {
+        let shares = (0..steps).map(|i| share_at(Millis(i * step), DURATION, cap));
+        let exposed: f64 = shares.sum::<f64>() / steps as f64;
+        assert!(exposed < cap, "{exposed} of all requests, the cap is {cap}");
+        assert!(
+            exposed > cap * 0.6,
+            "{exposed} of all requests, the cap is {cap}"
+        );
+    }
 }
 
 #[test]
--- a/crates/standin/src/users/mesh.rs
+++ b/crates/standin/src/users/mesh.rs
@@ -3,6 +3,7 @@
 
 use super::server::UsersServer;
 use super::store::UsersStore;
+use async_std::future::timeout;
 use async_std::task;
 use rf_base::{Clock, Millis};
 use rf_config::ProxySettings;
@@ -17,6 +18,8 @@
 
 /// Longest wait for something that must happen.
 const PATIENCE: Millis = Millis::from_secs(20);
+/// Longest wait for the answer to a call; a heartbeat counts if it is acknowledged within a second.
+const CALL_TIME: Millis = Millis(1000);
 /// Pause between two looks.
 const STEP: Millis = Millis(10);
 
@@ -349,16 +352,31 @@
     ///
     /// Returns an error where there is no answer.
     pub async fn call_host(&self, method: &str, target: &str, body: Vec<u8>) -> io::Result<u16> {
-        let address = self.settings.listen.announcements;
-        let mut connection = Connection::open(address, Millis(1000)).await?;
-        let head = RequestHead::new(method, target, &address.to_string());
-        let mut bytes = head.encode(body.len());
-        bytes.extend_from_slice(&body);
-        connection.write(&bytes).await?;
-        Ok(read_answer(&mut connection, method).await?.head.status)
+        call(self.settings.listen.announcements, method, target, body).await
     }
 }
 
+/// Sends a call on a connection of its own; returns the status of the answer.
+///
+/// # Errors
+///
+/// Returns an error where there is no answer.
+pub async fn call(
+    address: SocketAddr,
+    method: &str,
+    target: &str,
+    body: Vec<u8>,
+) -> io::Result<u16> {
+    let mut connection = Connection::open(address, CALL_TIME).await?;
+    let head = RequestHead::new(method, target, &address.to_string());
+    let mut bytes = head.encode(body.len());
+    bytes.extend_from_slice(&body);
+    connection.write(&bytes).await?;
+    let reading = read_answer(&mut connection, method);
+    let answer = timeout(CALL_TIME.duration(), reading).await;
+    Ok(answer.map_err(io::Error::other)??.head.status)
+}
+
 fn route(name: &str, prefix: &str, kind: &str, service: &str) -> Value {
     json!({
         "name": name,
@@ -387,6 +405,7 @@
         listen: ProxyListen {
             callers: at(9001),
             relay: at(9002),
+            relay_public: None,
             readiness: at(9003),
             announcements: at(9004),
         },
@@ -401,12 +420,10 @@
             link: 1000.0,
         },
         bounds: Bounds {
-            drain: Millis(2000),
             grace: mesh.grace,
             repeat_share: 0.2,
             repeat_slack: 56.0,
             trial_share: 0.1,
-            rollback: Millis(5000),
         },
         policy: LoadPolicy::default(),
         log: "info".to_owned(),
--- a/crates/standin/src/users/server.rs
+++ b/crates/standin/src/users/server.rs
@@ -8,6 +8,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
 
 /// What a backend server does with requests.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -46,6 +47,10 @@
     pub has_run: bool,
     /// Whether its connection closed before it had ended.
     pub was_cut: bool,
+    /// Id of the process that it reached.
+    pub process: String,
+    /// Time of its arrival.
+    pub at: Instant,
 }
 
 impl Arrival {
@@ -134,6 +139,12 @@
         self.lock().arrivals.clone()
     }
 
+    /// Returns the requests from the one with number `first` on.
+    pub fn arrivals_from(&self, first: usize) -> Vec<Arrival> {
+        let state = self.lock();
+        state.arrivals.get(first..).unwrap_or_default().to_vec()
+    }
+
     /// Returns how often a request began to run.
     pub fn runs(&self, request: &str) -> usize {
         let state = self.lock();
@@ -211,12 +222,15 @@
 
     fn arrive(&self, request: &str, head: RequestHead, body: Vec<u8>, has_run: bool) -> usize {
         let mut state = self.lock();
+        let process = state.id.clone();
         state.arrivals.push(Arrival {
             request: request.to_owned(),
             head,
             body,
             has_run,
             was_cut: false,
+            process,
+            at: Instant::now(),
         });
         state.arrivals.len() - 1
     }
--- a/crates/traffic/src/pursuit.rs
+++ b/crates/traffic/src/pursuit.rs
@@ -5,7 +5,7 @@
 //! route's limit, and a repeat of it draws on the retry budget, which all daemons share.
 
 use crate::retry::Allowance;
-use rf_base::{InstanceId, Verdict};
+use rf_base::{InstanceId, Millis, Verdict};
 use rf_config::Repeat;
 use rf_protocol::relay::{AttemptEnd, Loss, Rejection, ServerAnswer};
 use std::collections::BTreeSet;
@@ -17,6 +17,13 @@
 /// Status code of a backend server that ran out of time.
 const TIMED_OUT: u16 = 504;
 
+/// Refusals for lack of room after which a round of offers ends, by round. The servers that placement
+/// expects to be free come first, so a few refusals tell that the others are busy as well.
+const ROUND_REFUSALS: [u32; 2] = [6, 3];
+/// Part of the time to the target after which no further offer is made in a round, by round. A
+/// refusal that comes sooner leaves its caller the time to return.
+const ROUND_PARTS: [f64; 2] = [0.25, 0.5];
+
 /// What to do after an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Next {
@@ -36,6 +43,9 @@
     verdict: Verdict,
     tried: BTreeSet<InstanceId>,
     failure: Option<ServerAnswer>,
+    round: usize,
+    refusals: u32,
+    room: Option<Millis>,
 }
 
 impl Pursuit {
@@ -49,6 +59,9 @@
             verdict: Verdict::NotRun,
             tried: BTreeSet::new(),
             failure: None,
+            round: 0,
+            refusals: 0,
+            room: None,
         }
     }
 
@@ -57,9 +70,37 @@
         &self.tried
     }
 
-    /// Makes every instance eligible again that only refused for lack of room.
-    pub fn forget_tried(&mut self) {
+    /// Returns whether the request is in its last round, in which it waits longer for what others
+    /// leave.
+    pub fn is_last_round(&self) -> bool {
+        self.round + 1 == ROUND_REFUSALS.len()
+    }
+
+    /// Returns whether no further offer is to be made in this round, `age` after the request came,
+    /// as too many instances or too slowly refused it for lack of room.
+    pub fn is_round_over(&self, age: Millis, target: Millis) -> bool {
+        if self.refusals == 0 || self.verdict != Verdict::NotRun {
+            return false;
+        }
+        let limit = target.0 as f64 * ROUND_PARTS[self.round];
+        self.refusals >= ROUND_REFUSALS[self.round] || age.0 as f64 > limit
+    }
+
+    /// Begins the next round, in which every instance is eligible again; returns `false` where there
+    /// is none, or the request may have run.
+    pub fn begin_round(&mut self) -> bool {
+        if self.is_last_round() || self.verdict != Verdict::NotRun {
+            return false;
+        }
+        self.round += 1;
+        self.refusals = 0;
         self.tried.clear();
+        true
+    }
+
+    /// Returns the shortest time until room is expected, of those that refused for lack of it.
+    pub fn room(&self) -> Option<Millis> {
+        self.room
     }
 
     /// Returns whether the request may have run, over all its attempts.
@@ -104,6 +145,10 @@
     }
 
     fn after_rejection(&mut self, rejection: Rejection, budget: &mut Allowance<'_>) -> Next {
+        if let Rejection::Busy(room) = rejection {
+            self.refusals += 1;
+            self.room = Some(self.room.map_or(room, |least| least.min(room)));
+        }
         match rejection {
             Rejection::Busy(_)
             | Rejection::NotHere
--- a/crates/traffic/tests/pursuit.rs
+++ b/crates/traffic/tests/pursuit.rs
@@ -102,3 +102,54 @@
     assert!(!budget.above(0.5).take(), "half of the burst is kept back");
     assert!(budget.above(0.0).take());
 }
+
+fn busy(room: u64) -> AttemptEnd {
+    AttemptEnd::NotRun(Rejection::Busy(Millis(room)))
+}
+
+#[test]
+fn a_request_that_many_servers_have_no_room_for_is_given_up_after_two_rounds() {
+    let target = Millis(1000);
+    let mut budget = RetryBudget::with_burst(0.0, 0.0);
+    let mut pursuit = Pursuit::new(Repeat::Idempotent, 2);
+    let mut offers = 0;
+    loop {
+        while !pursuit.is_round_over(Millis(10), target) {
+            handle(&mut pursuit, offers, busy(40 + offers), &mut budget);
+            offers += 1;
+        }
+        if !pursuit.begin_round() {
+            break;
+        }
+    }
+    assert!(offers < 12, "{offers} offers for a refused request");
+    assert_eq!(pursuit.room(), Some(Millis(40)));
+}
+
+#[test]
+fn offers_over_full_links_end_while_the_caller_can_still_return() {
+    let target = Millis(1000);
+    let mut budget = RetryBudget::with_burst(0.0, 0.0);
+    let mut pursuit = Pursuit::new(Repeat::Idempotent, 2);
+    let mut age = Millis::ZERO;
+    for id in 0.. {
+        if pursuit.is_round_over(age, target) && !pursuit.begin_round() {
+            break;
+        }
+        age = age + Millis(200);
+        handle(&mut pursuit, id, busy(50), &mut budget);
+    }
+    assert!(age <= Millis(700), "refused only after {age}");
+}
+
+#[test]
+fn a_run_that_failed_late_is_still_repeated() {
+    let mut budget = RetryBudget::with_burst(0.0, 10.0);
+    let mut pursuit = Pursuit::new(Repeat::Idempotent, 2);
+    assert_eq!(handle(&mut pursuit, 1, busy(10), &mut budget), Next::Retry);
+    assert_eq!(
+        handle(&mut pursuit, 2, answered(500), &mut budget),
+        Next::Retry
+    );
+    assert!(!pursuit.is_round_over(Millis(900), Millis(1000)));
+}
