Add a soak of the real program; measure the pace of long answers

Soak: `rf-soak` runs proxies as processes beside stand-ins of backend servers and the store, with loopback proxies on every path (delay, reset, one-way cut, silence), signals (stop, kill, pause, reload), store faults, backend servers that misbehave, crash, drain or just leave, configuration in series, a bad version, and a store entry of a life with a clock far ahead. It checks whole answers, once, true refusals, drain, no regress, no loss around planned work, ends of processes, exposure and recovery while it runs, and fails where little was injected or checked. A run keeps schedule, settings, logs and report by seed; `--only` plays a part of a schedule.

--- a/crates/proxy/src/ingress.rs
+++ b/crates/proxy/src/ingress.rs
@@ -302,10 +302,7 @@
     };
     let limit = deadline.since(shared.now()) + FINAL_GRACE;
     match timeout(limit.duration(), pursue(shared, call)).await {
-        Ok(Final::Answer(answer)) => {
-            shared.observe_size(&route.name, answer.body.len());
-            (pass_on(answer), Verdict::Ran, "answered")
-        }
+        Ok(Final::Answer(answer)) => (pass_on(answer), Verdict::Ran, "answered"),
         Ok(Final::Refused(Reason::Crashing, _)) => {
             (plain(502), Verdict::MayHaveRun, Reason::Crashing.as_str())
         }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod ingress;
 pub mod listener;
 pub mod metrics;
+pub mod packing;
 pub mod peers;
 pub mod process;
 pub mod pursue;
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -3,6 +3,7 @@
 use crate::control::Event;
 use crate::dialect::Dialect;
 use crate::listener::accept;
+use crate::packing;
 use crate::relay::{self, MAX_MESSAGE};
 use crate::run;
 use crate::sending::LONG_ANSWER;
@@ -70,7 +71,9 @@
     reply: &RelayReply,
 ) -> std::io::Result<()> {
     let body = relay::encode(reply).map_err(std::io::Error::other)?;
-    let mut bytes = ResponseHead::new(200).encode(Some(body.len()));
+    let mut head = ResponseHead::new(200);
+    let body = packing::pack(body, &mut head.headers);
+    let mut bytes = head.encode(Some(body.len()));
     bytes.extend_from_slice(&body);
     shared.outlet.write(connection, &bytes).await
 }
--- a/crates/proxy/src/pursue.rs
+++ b/crates/proxy/src/pursue.rs
@@ -258,7 +258,7 @@
                 let transit = Millis::ZERO;
                 (end, Some(Report { load, transit }))
             }
-            false => relay::attempt(shared, target, order).await,
+            false => relay::attempt(shared, target, &self.route.name, order).await,
         };
         offered.end = grade(&end);
         offered.report = report;
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -5,6 +5,7 @@
 //! "not run" is a fact; one that runs is waited for. The first connection stays open meanwhile,
 //! since closing it would cancel the attempt, and its answer is taken if it comes after all.
 
+use crate::packing;
 use crate::shared::Shared;
 use crate::view::Target;
 use async_std::task;
@@ -109,7 +110,7 @@
     let checkout = checkout.map_err(|source| RelayError::Unconnected { source })?;
     let mut connection = checkout.connection;
     write(&mut connection, address, &body).await?;
-    let reply = read(&mut connection).await?;
+    let (reply, _) = read(&mut connection).await?;
     pool.put_back(address, connection);
     Ok(reply)
 }
@@ -121,7 +122,8 @@
     connection.write(&bytes).await.map_err(lost)
 }
 
-async fn read(connection: &mut Connection) -> Result<RelayReply> {
+/// Reads a reply; returns it with its length on the wire.
+async fn read(connection: &mut Connection) -> Result<(RelayReply, u64)> {
     let limits = ReadLimits {
         body: MAX_MESSAGE,
         ..ReadLimits::default()
@@ -129,16 +131,23 @@
     let head = connection.read_response(&limits).await.map_err(lost)?;
     let framing = frame_response(&head, "POST").map_err(malformed)?;
     let body = connection.read_body(framing, &limits).await.map_err(lost)?;
+    let length = body.len() as u64;
+    let body = packing::unpack(body, &head.headers, MAX_MESSAGE).map_err(malformed)?;
     match head.status {
-        200 => decode(&body),
+        200 => Ok((decode(&body)?, length)),
         status => Err(malformed(format!("status {status}"))),
     }
 }
 
-/// Sends an attempt to `target` and finds out how it ended.
+/// Sends an attempt of a request on `route` to `target` and finds out how it ended.
 ///
 /// The caller bounds the time; an attempt that is dropped is cancelled at the other end.
-pub async fn attempt<D>(shared: &Shared<D>, target: &Target, order: Box<AttemptOrder>) -> Sent {
+pub async fn attempt<D>(
+    shared: &Shared<D>,
+    target: &Target,
+    route: &str,
+    order: Box<AttemptOrder>,
+) -> Sent {
     let start = shared.now();
     let key = order.key;
     let request = order.request.clone();
@@ -173,8 +182,11 @@
     };
     let outcome = watch(shared, target, &key, exchange).await;
     match outcome {
-        Outcome::Replied(RelayReply::Attempt(end, load, spent)) => {
+        Outcome::Replied((RelayReply::Attempt(end, load, spent), length)) => {
             shared.relays.put_back(target.relay, connection);
+            if matches!(end, AttemptEnd::Answered(_)) {
+                shared.observe_size(route, length);
+            }
             let transit = shared.now().since(start).since(spent);
             (end, Some(Report { load, transit }))
         }
@@ -184,8 +196,8 @@
 }
 
 enum Outcome {
-    /// The other proxy replied on the attempt's own connection.
-    Replied(RelayReply),
+    /// The other proxy replied on the attempt's own connection, with so many bytes.
+    Replied((RelayReply, u64)),
     /// Its ledger said so, or it is gone.
     Asked(AttemptEnd),
 }
@@ -195,7 +207,7 @@
     shared: &Shared<D>,
     target: &Target,
     key: &AttemptKey,
-    exchange: impl Future<Output = Option<RelayReply>>,
+    exchange: impl Future<Output = Option<(RelayReply, u64)>>,
 ) -> Outcome {
     let mut exchange = Box::pin(exchange);
     let early = async_std::future::timeout(ASK_AFTER.duration(), &mut exchange).await;
@@ -266,7 +278,7 @@
         read(&mut connection).await
     };
     match async_std::future::timeout(ASK_TIME.duration(), asking).await {
-        Ok(Ok(RelayReply::Ask(answer))) => Ok(answer),
+        Ok(Ok((RelayReply::Ask(answer), _))) => Ok(answer),
         Ok(Ok(_)) => Err(malformed("reply to another message")),
         Ok(Err(error)) => Err(error),
         Err(_) => Err(lost("nothing in time")),
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -161,13 +161,13 @@
         change(budget)
     }
 
-    /// Returns the usual length of the answers on a route, in bytes.
+    /// Returns the usual length of the answers on a route between proxies, in bytes.
     pub fn answer_bytes(&self, route: &str) -> f64 {
         lock(&self.sizes).get(route).copied().unwrap_or_default()
     }
 
-    /// Takes in the length of an answer on a route.
-    pub fn observe_size(&self, route: &str, bytes: usize) {
+    /// Takes in the length of an answer on a route as it came from another proxy.
+    pub fn observe_size(&self, route: &str, bytes: u64) {
         let mut sizes = lock(&self.sizes);
         match sizes.get_mut(route) {
             Some(usual) => *usual += (bytes as f64 - *usual) / SIZE_SMOOTHING,
--- /dev/null
+++ b/crates/rosemaryfork/tests/soak.rs
@@ -0,0 +1,42 @@
+//! A short seeded soak of the program: processes, links, store and backend servers under faults.
+
+use async_std::task;
+use rf_soak::{SoakSettings, play};
+use std::path::PathBuf;
+
+/// Seeds of the run in CI: one mixed schedule, one of planned work only.
+const SEEDS: [u64; 2] = [2, 3];
+/// Seeds that once failed, with the cause.
+const REGRESSIONS: [u64; 0] = [];
+/// Network of the first run, apart from those of a soak by hand.
+const NETWORK: u16 = 10_000;
+
+async fn soak(seed: u64, place: u16) -> Vec<String> {
+    let name = format!("soak-{}-{seed}", std::process::id());
+    let settings = SoakSettings {
+        program: PathBuf::from(env!("CARGO_BIN_EXE_rosemaryfork")),
+        folder: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name),
+        seed,
+        instances: 4,
+        network: NETWORK + place,
+        only: Vec::new(),
+    };
+    let report = play(&settings).await.expect("the run is set up");
+    match report.violations.is_empty() {
+        true => Vec::new(),
+        false => report.lines(),
+    }
+}
+
+#[async_std::test]
+async fn the_promises_hold_under_seeded_faults() {
+    let seeds = SEEDS.iter().chain(&REGRESSIONS);
+    let runs: Vec<_> = seeds
+        .zip(0..)
+        .map(|(seed, place)| task::spawn(soak(*seed, place)))
+        .collect();
+    for run in runs {
+        let broken = run.await;
+        assert!(broken.is_empty(), "{}", broken.join("\n"));
+    }
+}
--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,126 @@
+//! Command line of the soak.
+
+use async_std::task;
+use bpaf::{OptionParser, Parser, construct, long};
+use rf_soak::{Report, SoakSettings, play};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+#[derive(Clone, Debug)]
+struct Options {
+    program: PathBuf,
+    folder: PathBuf,
+    first: u64,
+    seeds: u64,
+    instances: usize,
+    jobs: usize,
+    only: Option<String>,
+}
+
+fn parser() -> OptionParser<Options> {
+    let program = long("program")
+        .help("The program [target/release/rosemaryfork]")
+        .argument("FILE")
+        .fallback(PathBuf::from("target/release/rosemaryfork"));
+    let folder = long("folder")
+        .help("Where settings, logs and reports of the runs go [target/soak]")
+        .argument("FOLDER")
+        .fallback(PathBuf::from("target/soak"));
+    let first = long("first")
+        .help("First seed [1]")
+        .argument("N")
+        .fallback(1);
+    let seeds = long("seeds")
+        .help("Number of seeds [1]")
+        .argument("N")
+        .fallback(1);
+    let instances = long("instances")
+        .help("Instances of each run, 4 to 250 [8]")
+        .argument("N")
+        .fallback(8);
+    let jobs = long("jobs")
+        .help("Runs at a time [1]")
+        .argument("N")
+        .fallback(1);
+    let only = long("only")
+        .help("Numbers of the faults to play, to shorten a schedule: 0,3,7")
+        .argument("NUMBERS")
+        .optional();
+    let options = construct!(Options {
+        program,
+        folder,
+        first,
+        seeds,
+        instances,
+        jobs,
+        only
+    });
+    let options = options.guard(|o| (4..=250).contains(&o.instances), "4 to 250 instances");
+    options
+        .guard(|o| (1..=32).contains(&o.jobs), "1 to 32 runs at a time")
+        .to_options()
+        .descr("Plays seeded faults against real proxies, and checks what callers and servers see")
+}
+
+fn main() -> ExitCode {
+    let options = parser().run();
+    let only = match options.only.as_deref().map(parse_numbers).transpose() {
+        Ok(only) => only.unwrap_or_default(),
+        Err(error) => {
+            eprintln!("error: --only: {error}");
+            return ExitCode::from(2);
+        }
+    };
+    let seeds: Vec<u64> = (options.first..options.first + options.seeds).collect();
+    let mut broken = Vec::new();
+    for chunk in seeds.chunks(options.jobs) {
+        for (seed, result) in chunk.iter().zip(play_all(&options, chunk, &only)) {
+            match result {
+                Ok(report) => {
+                    println!("{}", report.lines().join("\n"));
+                    if !report.violations.is_empty() {
+                        broken.push(*seed);
+                    }
+                }
+                Err(error) => {
+                    println!("seed {seed}: cannot be played: {error}");
+                    broken.push(*seed);
+                }
+            }
+        }
+    }
+    println!("{} seeds, {} broken {broken:?}", seeds.len(), broken.len());
+    match broken.is_empty() {
+        true => ExitCode::SUCCESS,
+        false => ExitCode::FAILURE,
+    }
+}
+
+fn parse_numbers(text: &str) -> Result<Vec<usize>, std::num::ParseIntError> {
+    text.split(',').map(|n| n.trim().parse()).collect()
+}
+
+/// Plays seeds at the same time.
+fn play_all(options: &Options, seeds: &[u64], only: &[usize]) -> Vec<std::io::Result<Report>> {
+    let runs: Vec<_> = seeds
+        .iter()
+        .map(|seed| {
+            let settings = SoakSettings {
+                program: options.program.clone(),
+                folder: options.folder.join(format!("seed-{seed}")),
+                seed: *seed,
+                instances: options.instances,
+                network: (*seed - options.first) as u16,
+                only: only.to_vec(),
+            };
+            task::spawn(async move { play(&settings).await })
+        })
+        .collect();
+    task::block_on(async {
+        let mut results = Vec::new();
+        for run in runs {
+            results.push(run.await);
+        }
+        results
+    })
+}
--- /dev/null
+++ b/crates/soak/src/plan.rs
@@ -0,0 +1,255 @@
+//! The schedule of faults that a seed gives.
+//!
+//! Faults come alone, in series and overlapping. Every fourth seed plays planned work only, so that
+//! the stricter promises around planned work can be checked.
+
+use crate::link::LinkMode;
+use rf_base::{Millis, SeededRandom};
+use rf_standin::users::{ServerBehaviour, StoreFault};
+
+/// Time over which faults begin.
+pub const SPAN: Millis = Millis(7000);
+/// Fewest faults that are drawn, without their repeats.
+const MIN_STEPS: u64 = 7;
+/// Faults that may be drawn besides.
+const MORE_STEPS: u64 = 8;
+/// Part of the faults that come as a series.
+const SERIES: f64 = 0.3;
+/// Shortest time for which a fault lasts.
+const MIN_TIME: Millis = Millis(300);
+/// Time that may be added to it.
+const MORE_TIME: Millis = Millis(2200);
+
+/// Path on which a loopback proxy stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Side {
+    /// From other proxies to this one.
+    Relay,
+    /// To the backend server.
+    Server,
+    /// To the store.
+    Store,
+}
+
+/// Something that is done to the system.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// The process is killed.
+    Kill(usize),
+    /// The process is told to stop.
+    Stop(usize),
+    /// The process stands still.
+    Pause(usize, Millis),
+    /// The settings change, and the process is told.
+    Reload(usize),
+    /// A path is harmed.
+    Link(usize, Side, LinkMode, Millis),
+    /// The store misbehaves.
+    Store(StoreFault, Millis),
+    /// The store forgets its history.
+    Compact,
+    /// A backend server misbehaves.
+    Server(usize, ServerBehaviour, Millis),
+    /// A backend server dies and comes back as another process.
+    Crash(usize, Millis),
+    /// A backend server drains, leaves, and is replaced.
+    Drain(usize),
+    /// A backend server leaves without having drained, and is replaced.
+    Leave(usize),
+    /// The configuration changes.
+    Table,
+    /// A bad version of the service beside an instance is tried there.
+    BadVersion(usize),
+    /// The store knows of a life of this process with a clock far ahead, and the process is killed.
+    ClockAhead(usize),
+}
+
+impl Fault {
+    /// Returns the name for reports.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Fault::Kill(_) => "kill",
+            Fault::Stop(_) => "stop",
+            Fault::Pause(..) => "pause",
+            Fault::Reload(_) => "reload",
+            Fault::Link(_, _, mode, _) => mode.name(),
+            Fault::Store(..) => "store",
+            Fault::Compact => "compact",
+            Fault::Server(..) => "server",
+            Fault::Crash(..) => "crash",
+            Fault::Drain(_) => "drain",
+            Fault::Leave(_) => "leave",
+            Fault::Table => "table",
+            Fault::BadVersion(_) => "bad-version",
+            Fault::ClockAhead(_) => "clock-ahead",
+        }
+    }
+}
+
+/// A fault and its time.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Step {
+    /// Time from the start of the faults.
+    pub at: Millis,
+    /// What is done.
+    pub fault: Fault,
+}
+
+/// What a schedule is drawn for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Shape {
+    /// Instances.
+    pub instances: usize,
+}
+
+/// Faults in the order of their times.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Plan {
+    /// Seed that it was drawn with.
+    pub seed: u64,
+    /// Whether it holds planned work only.
+    pub is_planned: bool,
+    /// The faults.
+    pub steps: Vec<Step>,
+}
+
+impl Plan {
+    /// Draws the schedule of a seed.
+    pub fn draw(seed: u64, shape: Shape) -> Plan {
+        let mut draw = Draw {
+            random: SeededRandom::new(seed),
+            shape,
+        };
+        let is_planned = seed % 4 == 3;
+        let count = MIN_STEPS + draw.random.below(MORE_STEPS);
+        let mut steps = Vec::new();
+        for _ in 0..count {
+            let at = draw.random.jitter(SPAN);
+            let kind = draw.random.bits();
+            let repeats = match draw.random.fraction() < SERIES {
+                true => 1 + draw.random.below(3),
+                false => 0,
+            };
+            for number in 0..=repeats {
+                let fault = match is_planned {
+                    true => draw.planned(kind),
+                    false => draw.any(kind),
+                };
+                let gap = Millis(number * (120 + draw.random.below(300)));
+                steps.push(Step {
+                    at: at + gap,
+                    fault,
+                });
+            }
+        }
+        steps.sort_by_key(|s| s.at);
+        Plan {
+            seed,
+            is_planned,
+            steps,
+        }
+    }
+
+    /// Keeps only the steps with the given numbers.
+    pub fn keep(&mut self, numbers: &[usize]) {
+        let steps = std::mem::take(&mut self.steps);
+        let kept = steps.into_iter().enumerate();
+        let kept = kept.filter(|(number, _)| numbers.contains(number));
+        self.steps = kept.map(|(_, step)| step).collect();
+    }
+
+    /// Returns the lines that describe the schedule.
+    pub fn lines(&self) -> Vec<String> {
+        let line = |(number, step): (usize, &Step)| {
+            format!("{number:3} at {:5} ms: {:?}", step.at.0, step.fault)
+        };
+        self.steps.iter().enumerate().map(line).collect()
+    }
+}
+
+struct Draw {
+    random: SeededRandom,
+    shape: Shape,
+}
+
+impl Draw {
+    fn instance(&mut self) -> usize {
+        self.random.below(self.shape.instances as u64) as usize
+    }
+
+    fn time(&mut self) -> Millis {
+        MIN_TIME + self.random.jitter(MORE_TIME)
+    }
+
+    fn planned(&mut self, kind: u64) -> Fault {
+        match kind % 6 {
+            0 | 1 => Fault::Stop(self.instance()),
+            2 => Fault::Reload(self.instance()),
+            3 => Fault::Drain(self.instance()),
+            4 => Fault::Leave(self.instance()),
+            _ => Fault::Table,
+        }
+    }
+
+    fn any(&mut self, kind: u64) -> Fault {
+        match kind % 14 {
+            0 => Fault::Kill(self.instance()),
+            1 => Fault::Pause(self.instance(), self.time()),
+            2..=4 => self.link(),
+            5 => Fault::Store(self.store_fault(), self.time()),
+            6 => Fault::Compact,
+            7 | 8 => {
+                let behaviour = self.behaviour();
+                Fault::Server(self.instance(), behaviour, self.time())
+            }
+            9 => Fault::Crash(self.instance(), self.time()),
+            10 => Fault::BadVersion(self.instance()),
+            11 => Fault::ClockAhead(self.instance()),
+            _ => {
+                let kind = self.random.bits();
+                self.planned(kind)
+            }
+        }
+    }
+
+    fn link(&mut self) -> Fault {
+        let side = match self.random.below(5) {
+            0..=2 => Side::Relay,
+            3 => Side::Server,
+            _ => Side::Store,
+        };
+        let mode = match self.random.below(5) {
+            0 => LinkMode::Delay(Millis(20 + self.random.below(300))),
+            1 => LinkMode::Reset,
+            2 => LinkMode::CutForward,
+            3 => LinkMode::CutBackward,
+            _ => LinkMode::Silent,
+        };
+        Fault::Link(self.instance(), side, mode, self.time())
+    }
+
+    fn store_fault(&mut self) -> StoreFault {
+        match self.random.below(7) {
+            0 => StoreFault::Busy,
+            1 => StoreFault::TooMany,
+            2 => StoreFault::Reset,
+            3 => StoreFault::Silent,
+            4 => StoreFault::LoseAnswers,
+            5 => StoreFault::Slow(Millis(100 + self.random.below(600))),
+            _ => StoreFault::Nonsense,
+        }
+    }
+
+    fn behaviour(&mut self) -> ServerBehaviour {
+        match self.random.below(8) {
+            0 => ServerBehaviour::AnswersTwice,
+            1 => ServerBehaviour::Unframed,
+            2 => ServerBehaviour::Truncates,
+            3 => ServerBehaviour::Unsigned,
+            4 => ServerBehaviour::Garbles,
+            5 => ServerBehaviour::Sheds,
+            6 => ServerBehaviour::LosesAnswers,
+            _ => ServerBehaviour::Fails,
+        }
+    }
+}
