Wait for a long answer that is still being sent when its run is over

Ruled out: the pace itself (the answer was being sent, 80 ms old).

Change: while the reply of an attempt is not sent, the ledger says pending.

Test: a 150 KB answer over a link of 1 Mbit/s; 502 without the change, 200 with it.

--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -45,6 +45,8 @@
     ledger: Ledger<AttemptEnd>,
     waiters: BTreeMap<Place, Sender<Result<()>>>,
     pending: BTreeSet<AttemptId>,
+    /// Attempts whose reply is not sent yet.
+    unsent: BTreeSet<AttemptId>,
     /// Requests that run, by the id that their callers gave them.
     requests: BTreeMap<String, u32>,
     resident: Option<Resident>,
@@ -90,6 +92,7 @@
             ledger: Ledger::new(settings),
             waiters: BTreeMap::new(),
             pending: BTreeSet::new(),
+            unsent: BTreeSet::new(),
             requests: BTreeMap::new(),
             resident: None,
             end: None,
@@ -267,11 +270,22 @@
             Knowledge::Running => LedgerAnswer::Pending,
             Knowledge::NotRun => LedgerAnswer::Ended(AttemptEnd::NotRun(Rejection::Revoked)),
             Knowledge::Done(end) => LedgerAnswer::Ended(end),
+            // The answer is on its way on the attempt's own connection.
+            Knowledge::Gone if inner.unsent.contains(&key.id) => LedgerAnswer::Pending,
             Knowledge::Gone => LedgerAnswer::Ended(AttemptEnd::MayHaveRun(Loss::Dropped)),
             Knowledge::Unknown => LedgerAnswer::Ended(AttemptEnd::MayHaveRun(Loss::EarlierLife)),
         }
     }
 
+    /// Marks the reply of an attempt as not sent until the guard is dropped.
+    pub fn begin_reply(&self, id: AttemptId) -> Unsent {
+        self.lock().unsent.insert(id);
+        Unsent {
+            gate: self.clone(),
+            id,
+        }
+    }
+
     fn header(&self, key: &AttemptKey) -> AttemptHeader {
         AttemptHeader {
             id: key.id,
@@ -318,6 +332,19 @@
     }
 }
 
+/// Marks the reply of an attempt as not sent until it is dropped.
+#[derive(Debug)]
+pub struct Unsent {
+    gate: Gate,
+    id: AttemptId,
+}
+
+impl Drop for Unsent {
+    fn drop(&mut self) {
+        self.gate.lock().unsent.remove(&self.id);
+    }
+}
+
 /// An attempt that waits for a slot.
 #[derive(Debug)]
 struct Waiting {
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -2,6 +2,7 @@
 
 use crate::control::Event;
 use crate::dialect::Dialect;
+use crate::gate::Unsent;
 use crate::listener::accept;
 use crate::packing;
 use crate::relay::{self, MAX_MESSAGE};
@@ -45,10 +46,13 @@
                 return;
             }
         };
-        let Some((reply, _commitment)) = answer(&shared, &mut connection, message).await else {
+        let Some(answer) = answer(&shared, &mut connection, message).await else {
             return;
         };
-        if write_reply(&shared, &mut connection, &reply).await.is_err() {
+        if write_reply(&shared, &mut connection, &answer.reply)
+            .await
+            .is_err()
+        {
             return;
         }
     }
@@ -78,8 +82,13 @@
     shared.outlet.write(connection, &bytes).await
 }
 
-/// A reply, and its bytes on this instance's link until it is written.
-type Answer = (RelayReply, Option<Commitment>);
+/// A reply, and what is held until it is written.
+struct Answer {
+    reply: RelayReply,
+    /// Its bytes on this instance's link.
+    _commitment: Option<Commitment>,
+    _unsent: Option<Unsent>,
+}
 
 /// Answers a message; `None` where its sender went away.
 async fn answer<D: Dialect>(
@@ -110,7 +119,11 @@
             RelayReply::Table(make_patch(shared, version, &digest))
         }
     };
-    Some((reply, None))
+    Some(Answer {
+        reply,
+        _commitment: None,
+        _unsent: None,
+    })
 }
 
 /// Commits the link to an answer. A long one is refused where the bytes before it take longer than
@@ -130,6 +143,7 @@
     order: &AttemptOrder,
 ) -> Option<Answer> {
     let start = shared.now();
+    let unsent = shared.gate.begin_reply(order.key.id);
     let admitted = admit(shared, order);
     let (end, commitment) = match admitted {
         Ok(commitment) => {
@@ -145,7 +159,11 @@
     };
     let spent = shared.now().since(start);
     let reply = RelayReply::Attempt(end, shared.gate.load(), spent);
-    Some((reply, commitment))
+    Some(Answer {
+        reply,
+        _commitment: commitment,
+        _unsent: Some(unsent),
+    })
 }
 
 /// Makes the patch from the table of the given version and digest to this proxy's, if that is newer.
--- a/crates/proxy/tests/answers.rs
+++ b/crates/proxy/tests/answers.rs
@@ -2,7 +2,7 @@
 
 use rf_base::Millis;
 use rf_standin::users::mesh::{Ask, encode, read_answer};
-use rf_standin::users::server::body_of;
+use rf_standin::users::server::{body_of, long_body_of};
 use rf_standin::users::{Mesh, MeshSettings, ServerBehaviour};
 
 async fn start(network: u8) -> Mesh {
@@ -176,3 +176,24 @@
     })
     .await;
 }
+
+#[async_std::test]
+async fn a_long_answer_over_a_thin_link_is_waited_for_though_its_run_is_over() {
+    let settings = MeshSettings {
+        network: 10,
+        services: vec![("payments".to_owned(), 1), ("records".to_owned(), 1)],
+        link: 1.0,
+        ..MeshSettings::default()
+    };
+    let mesh = Mesh::start(settings).await.expect("the mesh starts");
+    let length = 150_000;
+    behave(&mesh, &ServerBehaviour::Long(length));
+    let ask = Ask {
+        target: "/records/x".to_owned(),
+        ..Ask::read("r-long")
+    };
+    let answer = mesh.ask(0, &ask).await.expect("an answer");
+    assert_eq!(answer.head.status, 200);
+    assert_eq!(answer.body, long_body_of("r-long", length));
+    assert_eq!(mesh.runs("r-long"), 1);
+}
--- a/crates/standin/src/users/mesh.rs
+++ b/crates/standin/src/users/mesh.rs
@@ -34,6 +34,8 @@
     pub network: u8,
     /// Time from the signal to stop until the end.
     pub grace: Millis,
+    /// Link of each instance, in megabits a second.
+    pub link: f64,
 }
 
 impl Default for MeshSettings {
@@ -43,6 +45,7 @@
             slots: 4,
             network: 1,
             grace: Millis(6000),
+            link: 1000.0,
         }
     }
 }
@@ -417,7 +420,7 @@
         limits: ProcessLimits {
             memory: 256,
             descriptors: 4096,
-            link: 1000.0,
+            link: mesh.link,
         },
         bounds: Bounds {
             grace: mesh.grace,
--- a/crates/standin/src/users/server.rs
+++ b/crates/standin/src/users/server.rs
@@ -3,7 +3,7 @@
 use async_std::net::TcpListener;
 use async_std::task;
 use futures_lite::FutureExt;
-use rf_base::Millis;
+use rf_base::{Millis, SeededRandom};
 use rf_transport::h1::{Connection, ReadLimits, RequestHead, ResponseHead, frame_request};
 use std::io;
 use std::net::SocketAddr;
@@ -32,6 +32,8 @@
     LosesAnswers,
     /// It answers 500.
     Fails,
+    /// Its answers have at least this length, and cannot be compressed.
+    Long(usize),
 }
 
 /// One request as a backend server saw it.
@@ -264,6 +266,16 @@
     format!("answer to {request}")
 }
 
+/// Body of a good answer of at least `length` bytes to a request.
+pub fn long_body_of(request: &str, length: usize) -> Vec<u8> {
+    let mut body = body_of(request).into_bytes();
+    let mut random = SeededRandom::new(length as u64);
+    while body.len() < length {
+        body.push(random.bits() as u8);
+    }
+    body
+}
+
 fn make_answer(request: &str, behaviour: &ServerBehaviour) -> Vec<u8> {
     let status = match behaviour {
         ServerBehaviour::Fails => 500,
@@ -274,7 +286,10 @@
     if *behaviour != ServerBehaviour::Unsigned {
         head.headers.add("X-Rosemaryfork-Response-Signature", "s.1");
     }
-    let body = body_of(request).into_bytes();
+    let body = match behaviour {
+        ServerBehaviour::Long(length) => long_body_of(request, *length),
+        _ => body_of(request).into_bytes(),
+    };
     let with_body = |length: Option<usize>, part: &[u8]| {
         let mut bytes = head.encode(length);
         bytes.extend_from_slice(part);
