Keep a bad version bad while it is tried in the soak; test early answers and deadly requests

Traced: the end of a "server misbehaves" fault on the instance that tried the bad version made it a good one, which was then rightly completed (log: rollout.promoted, Completed), and the soak went on with the old version. Fault of the soak. Ruled out: a bad version that is judged good (its answers were 200 from then on).

Change: an instance that tries a version keeps it and its behaviour until the trial is over; all processes may be killed at once; the version printed by a move's end is shown where a moves test fails.

Tests: a connection whose body was answered early carries nothing else; a request that kills backend servers reaches three of them.

--- a/crates/proxy/tests/answers.rs
+++ b/crates/proxy/tests/answers.rs
@@ -197,3 +197,26 @@
     assert_eq!(answer.body, long_body_of("r-long", length));
     assert_eq!(mesh.runs("r-long"), 1);
 }
+
+#[async_std::test]
+async fn a_connection_whose_body_was_answered_early_carries_nothing_else() {
+    let mesh = start(11).await;
+    behave(&mesh, &ServerBehaviour::Early);
+    let body = vec![b'b'; 900_000];
+    for number in 0..6 {
+        let request = format!("r-{number}");
+        let ask = Ask {
+            body: body.clone(),
+            ..Ask::pay(&request)
+        };
+        let answer = mesh.ask(0, &ask).await.expect("an answer");
+        assert_eq!(answer.head.status, 200);
+        assert_eq!(answer.body, body_of(&request).into_bytes());
+    }
+    let arrivals = mesh.instances.iter().flat_map(|i| i.server.arrivals());
+    let mut posts = arrivals.filter(|a| a.head.method == "POST");
+    assert!(
+        posts.all(|a| a.body == body),
+        "other bytes in place of a body"
+    );
+}
--- a/crates/proxy/tests/once.rs
+++ b/crates/proxy/tests/once.rs
@@ -3,6 +3,7 @@
 use async_std::task;
 use rf_base::Millis;
 use rf_standin::users::mesh::Ask;
+use rf_standin::users::server::DOWN;
 use rf_standin::users::{Mesh, MeshSettings, ServerBehaviour};
 
 async fn start(network: u8) -> Mesh {
@@ -119,3 +120,36 @@
     let took = start.elapsed().as_millis();
     assert!((350..900).contains(&took), "answered after {took} ms");
 }
+
+#[async_std::test]
+async fn a_request_that_kills_backend_servers_reaches_three_of_them_wherever_it_comes() {
+    let settings = MeshSettings {
+        network: 29,
+        services: vec![("payments".to_owned(), 5)],
+        ..MeshSettings::default()
+    };
+    let mesh = Mesh::start(settings).await.expect("the mesh starts");
+    for instance in &mesh.instances {
+        let deadly = ServerBehaviour::DiesOf("kill".to_owned());
+        instance.server.behave(deadly);
+    }
+    let deaths = || {
+        mesh.instances
+            .iter()
+            .map(|i| i.server.deaths())
+            .sum::<u32>()
+    };
+    for number in 0..10 {
+        let ask = Ask {
+            target: "/read/kill".to_owned(),
+            ..Ask::read(&format!("k-{number}"))
+        };
+        let answer = mesh.ask(number % 5, &ask).await.expect("an answer");
+        assert!(answer.head.status >= 500, "{}", answer.head.status);
+        // The servers are back, and the news has spread.
+        task::sleep(DOWN.duration() * 2).await;
+    }
+    assert!((3..=4).contains(&deaths()), "{} deaths", deaths());
+    let other = mesh.ask(1, &Ask::read("fine")).await.expect("an answer");
+    assert_eq!(other.head.status, 200);
+}
--- a/crates/rosemaryfork/tests/moves.rs
+++ b/crates/rosemaryfork/tests/moves.rs
@@ -56,7 +56,11 @@
         .expect("an end");
     let m = operator.find_move(id).await.expect("the move");
     match m.state {
-        MoveState::Ended { outcome, .. } => outcome,
+        MoveState::Ended { outcome, .. } => {
+            // Shown where the test fails.
+            println!("move ended: {}", m.summary);
+            outcome
+        }
         MoveState::Running { .. } => panic!("ended moves stay ended"),
     }
 }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -36,6 +36,8 @@
 pub enum Fault {
     /// The process is killed.
     Kill(usize),
+    /// All processes are killed at once.
+    KillAll,
     /// The process is told to stop.
     Stop(usize),
     /// The process stands still.
@@ -69,6 +71,7 @@
     pub fn name(&self) -> &'static str {
         match self {
             Fault::Kill(_) => "kill",
+            Fault::KillAll => "kill-all",
             Fault::Stop(_) => "stop",
             Fault::Pause(..) => "pause",
             Fault::Reload(_) => "reload",
@@ -192,7 +195,7 @@
     }
 
     fn any(&mut self, kind: u64) -> Fault {
-        match kind % 14 {
+        match kind % 15 {
             0 => Fault::Kill(self.instance()),
             1 => Fault::Pause(self.instance(), self.time()),
             2..=4 => self.link(),
@@ -205,6 +208,7 @@
             9 => Fault::Crash(self.instance(), self.time()),
             10 => Fault::BadVersion(self.instance()),
             11 => Fault::ClockAhead(self.instance()),
+            12 => Fault::KillAll,
             _ => {
                 let kind = self.random.bits();
                 self.planned(kind)
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -58,6 +58,8 @@
     lives: u64,
     /// Process that may end, since it was signalled.
     may_end: bool,
+    /// Whether a bad version is tried here, which other faults leave as it is.
+    is_trial: bool,
     paused: Vec<(Instant, Option<Instant>)>,
     beat: Beat,
     /// Backend server processes whose leaving was acknowledged.
@@ -121,6 +123,12 @@
         }
     }
 
+    fn behave(&self, behaviour: &ServerBehaviour) {
+        if !self.lock().is_trial {
+            self.server.behave(behaviour.clone());
+        }
+    }
+
     fn server_id(&self, process: u64) -> String {
         format!("i-{}-{process}", self.settings.instance)
     }
@@ -316,10 +324,14 @@
     }
 
     /// Puts a new backend server process beside an instance.
-    fn renew(&self, number: usize, version: &str) {
+    fn renew(&self, number: usize) {
         let instance = &self.instances[number];
         let id = {
             let mut state = instance.lock();
+            let version = match state.is_trial {
+                true => "v2",
+                false => "v1",
+            };
             state.beat = Beat {
                 process: state.beat.process + 1,
                 seq: 0,
@@ -335,6 +347,11 @@
     pub async fn inject(&self, fault: &Fault) {
         match fault {
             Fault::Kill(number) => self.instances[*number].signal(Signal::KILL, true),
+            Fault::KillAll => {
+                for instance in &self.instances {
+                    instance.signal(Signal::KILL, true);
+                }
+            }
             Fault::Stop(number) => self.stop(*number).await,
             Fault::Pause(number, time) => self.pause(*number, *time).await,
             Fault::Reload(number) => self.reload(*number),
@@ -351,10 +368,9 @@
             }
             Fault::Compact => self.store.compact(),
             Fault::Server(number, behaviour, time) => {
-                let server = &self.instances[*number].server;
-                server.behave(behaviour.clone());
+                self.instances[*number].behave(behaviour);
                 task::sleep(time.duration()).await;
-                server.behave(ServerBehaviour::Good);
+                self.instances[*number].behave(&ServerBehaviour::Good);
             }
             Fault::Crash(number, time) => self.crash(*number, *time).await,
             Fault::Drain(number) => self.drain(*number).await,
@@ -420,7 +436,7 @@
         link.set(LinkMode::Reset);
         task::sleep(time.duration()).await;
         link.set(LinkMode::Pass);
-        self.renew(number, "v1");
+        self.renew(number);
     }
 
     async fn drain(&self, number: usize) {
@@ -446,7 +462,7 @@
             }
         }
         task::sleep(DRAIN.duration() + DRAIN.duration() / 2).await;
-        self.renew(number, "v1");
+        self.renew(number);
     }
 
     /// Tries a version that fails every request, and checks how many it gets.
@@ -457,36 +473,37 @@
         }
         let instance = &self.instances[number];
         let service = &instance.service;
+        instance.lock().is_trial = true;
         instance.server.behave(ServerBehaviour::Fails);
-        self.renew(number, "v2");
-        let id = instance.server.id();
+        self.renew(number);
         let before = self.count(service, None);
+        let own = self.count(service, Some(number));
         let spec = json!({
             "service": service, "targetVersion": "v2", "duration": format!("{}ms", TRIAL.0),
         });
         self.store.write("rollouts", service, spec);
         task::sleep(TRIAL.duration()).await;
         let total = self.count(service, None) - before;
-        let exposed = self.count(service, Some(&id));
+        let exposed = self.count(service, Some(number)) - own;
         let cap = (total as f64 * TRIAL_SHARE) as u64 + TRIAL_SLACK;
         self.judge.check(Promise::Exposure, exposed <= cap, || {
             format!("the bad version of {service} got {exposed} of {total} requests")
         });
+        instance.lock().is_trial = false;
         instance.server.behave(ServerBehaviour::Good);
-        self.renew(number, "v1");
+        self.renew(number);
     }
 
-    fn count(&self, service: &str, process: Option<&str>) -> u64 {
-        let of_service = self.instances.iter().filter(|i| i.service == service);
-        let counts = of_service.map(|i| {
+    /// Counts the runs of a service, or of one of its instances.
+    fn count(&self, service: &str, only: Option<usize>) -> u64 {
+        let instances = self.instances.iter().enumerate();
+        let counted = instances
+            .filter(|(number, i)| i.service == service && only.is_none_or(|n| n == *number));
+        let runs = counted.map(|(_, i)| {
             let arrivals = i.server.arrivals_from(0);
-            let is_counted = |p: &str| process.is_none_or(|id| id == p);
-            arrivals
-                .iter()
-                .filter(|a| a.has_run && is_counted(&a.process))
-                .count() as u64
+            arrivals.iter().filter(|a| a.has_run).count() as u64
         });
-        counts.sum()
+        runs.sum()
     }
 
     /// Leaves an entry in the store as a process with a clock far ahead would have written it.
@@ -579,6 +596,7 @@
             process: None,
             lives: 0,
             may_end: false,
+            is_trial: false,
             paused: Vec::new(),
             beat: Beat {
                 process: 1,
--- a/crates/standin/src/users/server.rs
+++ b/crates/standin/src/users/server.rs
@@ -4,12 +4,17 @@
 use async_std::task;
 use futures_lite::FutureExt;
 use rf_base::{Millis, SeededRandom};
-use rf_transport::h1::{Connection, ReadLimits, RequestHead, ResponseHead, frame_request};
+use rf_transport::h1::{Connection, Framing, ReadLimits, RequestHead, ResponseHead, frame_request};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
+/// Time for which a backend server that died is away.
+pub const DOWN: Millis = Millis(400);
+/// Time between two looks whether the process has died.
+const LOOK: Millis = Millis(10);
+
 /// What a backend server does with requests.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub enum ServerBehaviour {
@@ -34,6 +39,10 @@
     Fails,
     /// Its answers have at least this length, and cannot be compressed.
     Long(usize),
+    /// It answers a request with a body before it has read that, and reads on.
+    Early,
+    /// It dies of requests whose target holds this text, and is back after [`DOWN`].
+    DiesOf(String),
 }
 
 /// One request as a backend server saw it.
@@ -70,6 +79,7 @@
     running: u32,
     most_running: u32,
     arrivals: Vec<Arrival>,
+    deaths: u32,
 }
 
 /// A running backend server.
@@ -94,23 +104,50 @@
             running: 0,
             most_running: 0,
             arrivals: Vec::new(),
+            deaths: 0,
         };
         let server = UsersServer {
             address: listener.local_addr()?,
             state: Arc::new(Mutex::new(state)),
         };
-        let serving = server.clone();
-        task::spawn(async move {
-            loop {
-                if let Ok((stream, _)) = listener.accept().await {
-                    let server = serving.clone();
-                    task::spawn(async move { server.serve(Connection::new(stream)).await });
-                }
-            }
-        });
+        task::spawn(server.clone().listen(listener));
         Ok(server)
     }
 
+    /// Accepts connections; those of a process that died are cut, and its port is closed for a while.
+    async fn listen(self, mut listener: TcpListener) {
+        loop {
+            let deaths = self.lock().deaths;
+            let accepting = async {
+                while let Ok((stream, _)) = listener.accept().await {
+                    let server = self.clone();
+                    let living = async move { server.serve(Connection::new(stream)).await };
+                    let server = self.clone();
+                    let dying = async move { server.wait_death(deaths).await };
+                    task::spawn(living.or(dying));
+                }
+            };
+            accepting.or(self.wait_death(deaths)).await;
+            drop(listener);
+            task::sleep(DOWN.duration()).await;
+            listener = match TcpListener::bind(self.address).await {
+                Ok(listener) => listener,
+                Err(_) => return,
+            };
+        }
+    }
+
+    async fn wait_death(&self, deaths: u32) {
+        while self.lock().deaths == deaths {
+            task::sleep(LOOK.duration()).await;
+        }
+    }
+
+    /// Returns how often the process died.
+    pub fn deaths(&self) -> u32 {
+        self.lock().deaths
+    }
+
     /// Returns the server's address.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -172,14 +209,25 @@
             let Ok(framing) = frame_request(&head) else {
                 return;
             };
-            let Ok(body) = connection.read_body(framing, &limits).await else {
-                return;
-            };
             let request = head
                 .headers
                 .get("X-Rosemaryfork-Request-Id")
                 .unwrap_or_default()
                 .to_owned();
+            if self.lock().behaviour == ServerBehaviour::Early && framing != Framing::Empty {
+                let answer = make_answer(&request, &ServerBehaviour::Early);
+                if connection.write(&answer).await.is_err() {
+                    return;
+                }
+                if let Ok(body) = connection.read_body(framing, &limits).await {
+                    self.arrive(&request, head, body, true);
+                    continue;
+                }
+                return;
+            }
+            let Ok(body) = connection.read_body(framing, &limits).await else {
+                return;
+            };
             if !self.answer(&mut connection, &request, head, body).await {
                 return;
             }
@@ -208,6 +256,14 @@
             head.headers.add("X-Rosemaryfork-Not-Executed", "1");
             return connection.write(&head.encode(Some(0))).await.is_ok();
         }
+        if let ServerBehaviour::DiesOf(text) = &behaviour
+            && self.lock().arrivals[number].head.target.contains(text)
+        {
+            self.lock().deaths += 1;
+            // The port closes no later than the connection does.
+            task::sleep(LOOK.duration() * 3).await;
+            return false;
+        }
         if !self.run(connection, number).await {
             return false;
         }
