Choose the better of a few servers; model load on a virtual clock

Cause: the new load model (crates/standin/src/model: proxies, gates, servers of unequal speed and callers on a virtual clock, driving placement, queue, rounds and patience of the product) showed the product's placement as the worst of four below capacity: proxies with the same reports choose the same server at the same time.

Ruled out: noise on the scores (it was there); the queue (its order is the best of the two at every load above capacity).

Change: the better of two near and two far servers, drawn at random, by the same score. Long answers are admitted to a link only where they can be in time, spare ones too, as what waits there cannot be overtaken; the limit of a long answer is 32 KB.

--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -126,14 +126,21 @@
     })
 }
 
-/// Commits the link to an answer. A long one is refused where the bytes before it take longer than
-/// the request may wait, its own run included, as they are sent meanwhile.
+/// Part of the time to its target that a long answer may spend behind others on the link; its run,
+/// its own bytes and the way on to the caller take the rest.
+const LINK_PART: f64 = 0.5;
+/// Backlog up to which a long answer is admitted however late it is.
+const MIN_BACKLOG: Millis = Millis(250);
+
+/// Commits the link to an answer. A long one is refused where the bytes before it would make it
+/// late. That holds for spare requests as well: what they wait for cannot be overtaken, so their
+/// wait would make later answers late.
 fn admit<D>(shared: &Shared<D>, order: &AttemptOrder) -> Result<Commitment, Millis> {
     let expected = order.terms.expected;
     if expected < LONG_ANSWER {
         return Ok(shared.link.commit(expected));
     }
-    let patience = order.terms.patience + shared.gate.load().usual;
+    let patience = Millis((order.terms.target.0 as f64 * LINK_PART) as u64).max(MIN_BACKLOG);
     shared.link.admit(expected, patience)
 }
 
--- a/crates/proxy/src/pursue.rs
+++ b/crates/proxy/src/pursue.rs
@@ -13,7 +13,7 @@
 };
 use rf_rollout::trial::share_at;
 use rf_traffic::placement::Report;
-use rf_traffic::{Candidate, Next, OfferEnd, Pursuit, RetryBudget};
+use rf_traffic::{Candidate, Next, OfferEnd, OfferTimes, Pursuit, RetryBudget, WaitParts};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use tracing::info;
@@ -129,7 +129,7 @@
         let Some(target) = targets.iter().find(|t| t.instance == instance) else {
             return call.give_up(shared, pursuit, &candidates, None);
         };
-        let end = call.offer(shared, target, pursuit.is_last_round()).await;
+        let end = call.offer(shared, target, &pursuit).await;
         call.observe(shared, side, &end, now);
         if let AttemptEnd::Answered(answer) = &end
             && answer.status < 500
@@ -241,9 +241,9 @@
         &self,
         shared: &Arc<Shared<D>>,
         target: &Target,
-        is_last: bool,
+        pursuit: &Pursuit,
     ) -> AttemptEnd {
-        let order = self.make_order(shared, target, is_last);
+        let order = self.make_order(shared, target, pursuit);
         let mut offered = Offered {
             shared,
             instance: target.instance,
@@ -269,7 +269,7 @@
         &self,
         shared: &Shared<D>,
         target: &Target,
-        is_last: bool,
+        pursuit: &Pursuit,
     ) -> Box<AttemptOrder> {
         let now = shared.now();
         let left = self.deadline.since(now);
@@ -277,10 +277,19 @@
         let policy = shared.settings.load().policy;
         let to_target = (self.start + self.route.target).since(now);
         // A call that fails wastes the run that made it, so it waits as long as that run can.
-        let patience = match (self.is_nested, is_last) {
-            (true, _) => left.since(usual),
-            (false, false) => part_of(to_target.since(usual), policy.first_wait),
-            (false, true) => part_of(left.since(usual), policy.late_wait),
+        let patience = match self.is_nested {
+            true => left.since(usual),
+            false => pursuit.patience(
+                OfferTimes {
+                    left,
+                    target: to_target,
+                    usual,
+                },
+                WaitParts {
+                    first: policy.first_wait,
+                    late: policy.late_wait,
+                },
+            ),
         };
         let priority = match self.is_nested {
             true => 0,
@@ -295,7 +304,7 @@
             terms: AttemptTerms {
                 repeat: self.route.repeat,
                 priority,
-                is_spare: is_last && !self.is_nested,
+                is_spare: pursuit.is_last_round() && !self.is_nested,
                 target: if self.is_nested { left } else { to_target },
                 left,
                 patience,
@@ -371,10 +380,6 @@
     }
 }
 
-fn part_of(span: Millis, part: f64) -> Millis {
-    Millis((span.0 as f64 * part) as u64)
-}
-
 async fn run_here<D: Dialect>(shared: &Arc<Shared<D>>, order: &AttemptOrder) -> AttemptEnd {
     let start = shared.now();
     match shared.gate.enter(order).await {
--- a/crates/proxy/src/sending.rs
+++ b/crates/proxy/src/sending.rs
@@ -16,8 +16,9 @@
 use std::pin::pin;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-/// Length from which an answer takes a turn, in bytes. Shorter ones hardly load a link.
-pub const LONG_ANSWER: u64 = 16 * 1024;
+/// Length from which an answer takes a turn, in bytes. Shorter ones hold up others for a few pieces
+/// at most.
+pub const LONG_ANSWER: u64 = 32 * 1024;
 /// Bytes of a long answer that are sent at a time.
 const PIECE: usize = 8 * 1024;
 /// Factor on the time that an answer takes on an idle link after which its turn ends.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,12 +3,13 @@
 //!
 //! [`platform`] takes the place of the object API, [`server`] that of a backend server, [`proxy`]
 //! sits between two processes and injects faults, [`load`] calls like callers do. [`cluster`]
-//! starts and stops processes.
+//! starts and stops processes; [`model`] plays load on a virtual clock.
 
 pub mod cluster;
 pub mod instance;
 pub mod load;
 pub mod measure;
+pub mod model;
 pub mod network;
 pub mod operator;
 pub mod platform;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -9,6 +9,7 @@
 use rf_standin::quickstart;
 use rf_standin::server::{Behavior, Server, ServerOptions};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 /// One command.
@@ -36,6 +37,7 @@
     Moves,
     Machines(Vec<usize>),
     Mesh(Vec<usize>),
+    Load(PathBuf),
 }
 
 fn main() -> ExitCode {
@@ -79,6 +81,7 @@
             Ok(())
         }
         Measurement::Mesh(sizes) => measure::mesh::run(sizes).await,
+        Measurement::Load(folder) => return measure::load::run(folder).map_err(|e| e.to_string()),
     };
     result.map_err(|e| e.to_string())
 }
@@ -198,7 +201,15 @@
         .to_options()
         .descr("Cost and speed of the control half by the number of daemons.")
         .command("mesh");
-    let measurement = construct!([overhead, overload, judge, moves, machines, mesh]);
+    let plots = long("plots")
+        .help("Folder for the plots [docs/plots]")
+        .argument::<PathBuf>("FOLDER")
+        .fallback(PathBuf::from("docs/plots"));
+    let load = construct!(Measurement::Load(plots))
+        .to_options()
+        .descr("Placements and orders of waiting over loads, on a virtual clock; draws plots.")
+        .command("load");
+    let measurement = construct!([overhead, overload, judge, moves, machines, mesh, load]);
     construct!(Command::Measure(measurement))
         .to_options()
         .descr("Measures with real processes and prints tables.")
--- /dev/null
+++ b/crates/standin/src/measure/load.rs
@@ -0,0 +1,62 @@
+//! Placements and orders of waiting over loads, on a virtual clock.
+
+use crate::model::plot::draw;
+use crate::model::sweep;
+use std::error::Error;
+use std::path::Path;
+
+/// Longest time on the plot of answers, in milliseconds.
+const MAX_TIME: f64 = 4000.0;
+
+/// Plays the sweep, prints its tables and draws its plots into `folder`.
+///
+/// # Errors
+///
+/// Returns an error where the folder cannot be written.
+pub fn run(folder: &Path) -> Result<(), Box<dyn Error>> {
+    let series = sweep::run();
+    let percent = |part: f64| format!("{:.1}", part * 100.0);
+    println!(
+        "Worth earned, % of all:\n\n{}",
+        sweep::table(&series, |f| percent(f.credit))
+    );
+    println!(
+        "Requests answered, %:\n\n{}",
+        sweep::table(&series, |f| percent(f.served))
+    );
+    println!(
+        "Time of runs that was wasted, %:\n\n{}",
+        sweep::table(&series, |f| percent(f.wasted))
+    );
+    println!(
+        "Offers for each request:\n\n{}",
+        sweep::table(&series, |f| format!("{:.2}", f.offers))
+    );
+    println!(
+        "p99 of answers, ms:\n\n{}",
+        sweep::table(&series, |f| format!("{:.0}", f.p99))
+    );
+    std::fs::create_dir_all(folder)?;
+    draw(
+        &folder.join("load-credit.svg"),
+        "Worth earned",
+        &series,
+        1.0,
+        |f| f.credit,
+    )?;
+    draw(
+        &folder.join("load-p99.svg"),
+        "p99 of answers, ms",
+        &series,
+        MAX_TIME,
+        |f| f.p99,
+    )?;
+    draw(
+        &folder.join("load-wasted.svg"),
+        "Time of runs that was wasted",
+        &series,
+        0.6,
+        |f| f.wasted,
+    )?;
+    Ok(())
+}
--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -1,6 +1,7 @@
 //! Measurements with real processes, each printed as a table and as JSON.
 
 pub mod judge;
+pub mod load;
 pub mod machines;
 pub mod mesh;
 pub mod moves;
--- /dev/null
+++ b/crates/standin/src/model/sweep.rs
@@ -0,0 +1,155 @@
+//! Plays loads against policies, on the same seeds.
+
+use super::policy::{Fifo, Simple, SimpleKind};
+use super::world::{Class, Figures, Scenario, World};
+use rf_base::Millis;
+use rf_traffic::Placement;
+use rf_traffic::admission::Queue;
+
+/// Loads, as factors on what the servers can run.
+pub const LOADS: [f64; 8] = [0.5, 0.75, 0.9, 1.0, 1.25, 1.5, 2.0, 3.0];
+/// Seeds of each point.
+const SEEDS: [u64; 3] = [11, 22, 33];
+/// Time for which requests come.
+const LENGTH: Millis = Millis::from_secs(20);
+
+/// A policy under test.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Policy {
+    /// Placement; the product's where absent.
+    pub placement: Option<SimpleKind>,
+    /// Whether requests wait in the order in which they came.
+    pub is_fifo: bool,
+}
+
+impl Policy {
+    /// Returns the policies that are compared, the product's first.
+    pub fn all() -> Vec<Policy> {
+        let placements = [
+            None,
+            Some(SimpleKind::TwoChoices),
+            Some(SimpleKind::RoundRobin),
+            Some(SimpleKind::Random),
+        ];
+        let orders = [false, true];
+        let pairs = placements
+            .iter()
+            .flat_map(|p| orders.iter().map(move |o| (*p, *o)));
+        pairs
+            .map(|(placement, is_fifo)| Policy { placement, is_fifo })
+            .collect()
+    }
+
+    /// Returns the name for tables and plots.
+    pub fn name(&self) -> String {
+        let placement = match self.placement {
+            None => "expected completion",
+            Some(SimpleKind::TwoChoices) => "two choices",
+            Some(SimpleKind::RoundRobin) => "round robin",
+            Some(SimpleKind::Random) => "random",
+        };
+        let order = match self.is_fifo {
+            true => "first come",
+            false => "by rank and target",
+        };
+        format!("{placement}, {order}")
+    }
+
+    /// Plays a scenario.
+    pub fn play(&self, scenario: &Scenario, seed: u64) -> Figures {
+        match (self.placement, self.is_fifo) {
+            (None, false) => World::play(scenario, seed, Placement::new, Queue::new),
+            (None, true) => World::play(scenario, seed, Placement::new, Fifo::new),
+            (Some(kind), false) => {
+                World::play(scenario, seed, |r| Simple::new(kind, r), Queue::new)
+            }
+            (Some(kind), true) => World::play(scenario, seed, |r| Simple::new(kind, r), Fifo::new),
+        }
+    }
+}
+
+/// Figures of one policy over the loads.
+#[derive(Clone, Debug)]
+pub struct Series {
+    /// The policy.
+    pub policy: Policy,
+    /// Load and mean figures.
+    pub points: Vec<(f64, Figures)>,
+}
+
+/// Returns a service of servers of unequal speed with three kinds of requests.
+pub fn make_scenario(load: f64) -> Scenario {
+    let class = |part, work, target, worth, priority| Class {
+        part,
+        work,
+        target: Millis(target),
+        deadline: Millis(target * 4),
+        worth,
+        late: 0.3,
+        priority,
+        returns: 1,
+    };
+    Scenario {
+        classes: vec![
+            class(0.55, 220.0, 800, 1.0, 2),
+            class(0.25, 290.0, 1000, 2.0, 1),
+            class(0.20, 90.0, 500, 2.0, 1),
+        ],
+        speeds: [0.6, 1.0, 1.4].repeat(4),
+        slots: 6,
+        proxies: 24,
+        load,
+        length: LENGTH,
+    }
+}
+
+/// Plays every policy at every load.
+pub fn run() -> Vec<Series> {
+    let series = |policy: Policy| Series {
+        policy,
+        points: LOADS
+            .iter()
+            .map(|load| (*load, mean(&policy, *load)))
+            .collect(),
+    };
+    Policy::all().into_iter().map(series).collect()
+}
+
+fn mean(policy: &Policy, load: f64) -> Figures {
+    let scenario = make_scenario(load);
+    let mut sum = Figures::default();
+    for seed in SEEDS {
+        let figures = policy.play(&scenario, seed);
+        sum.credit += figures.credit;
+        sum.served += figures.served;
+        sum.wasted += figures.wasted;
+        sum.offers += figures.offers;
+        sum.p50 += figures.p50;
+        sum.p99 += figures.p99;
+    }
+    let count = SEEDS.len() as f64;
+    Figures {
+        credit: sum.credit / count,
+        served: sum.served / count,
+        wasted: sum.wasted / count,
+        offers: sum.offers / count,
+        p50: sum.p50 / count,
+        p99: sum.p99 / count,
+    }
+}
+
+/// Returns a table of one figure: a line for each policy, a column for each load.
+pub fn table(series: &[Series], figure: impl Fn(&Figures) -> String) -> String {
+    let loads: Vec<String> = LOADS.iter().map(|l| format!("{l}")).collect();
+    let mut text = format!("| policy | {} |\n", loads.join(" | "));
+    text.push_str(&format!("|---|{}\n", "---|".repeat(LOADS.len())));
+    for line in series {
+        let cells: Vec<String> = line.points.iter().map(|(_, f)| figure(f)).collect();
+        text.push_str(&format!(
+            "| {} | {} |\n",
+            line.policy.name(),
+            cells.join(" | ")
+        ));
+    }
+    text
+}
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -26,7 +26,7 @@
 pub use limiter::{Admission, Limiter, Ticket};
 pub use link::{Commitment, Link};
 pub use placement::{Candidate, OfferEnd, Placement};
-pub use pursuit::{Next, Pursuit};
+pub use pursuit::{Next, OfferTimes, Pursuit, WaitParts};
 pub use resident::{Announcement, Residence, Resident};
 pub use retry::{CallProgress, NextAttempt, RetryBudget};
 pub use shares::Shares;
--- a/crates/traffic/src/placement.rs
+++ b/crates/traffic/src/placement.rs
@@ -35,6 +35,8 @@
 /// Factor on the usual time of a server that has not been measured, so that a new server is tried
 /// soon, a few requests at a time.
 const UNMEASURED_FACTOR: f64 = 0.8;
+/// Candidates of either group, near and far, that are compared for one offer.
+const SAMPLE: usize = 2;
 /// Greatest noise, as a share of the score.
 const NOISE: f64 = 0.1;
 /// First time for which an unreachable server is left out.
@@ -130,7 +132,7 @@
         let usable = if usable.is_empty() { fresh } else { usable };
         let common = self.common_time(candidates);
         let mut best: Option<(f64, InstanceId)> = None;
-        for candidate in usable {
+        for candidate in self.sample(usable) {
             let noise = 1.0 + NOISE * self.random.fraction();
             let score = self.score(now, candidate, common, distance) * noise;
             if best.is_none_or(|(least, _)| score < least) {
@@ -144,6 +146,19 @@
         Some(instance)
     }
 
+    /// Draws a few of the near candidates and a few of the others.
+    fn sample<'a>(&mut self, candidates: Vec<&'a Candidate>) -> Vec<&'a Candidate> {
+        let (mut near, mut far): (Vec<_>, Vec<_>) = candidates.into_iter().partition(|c| c.is_near);
+        let mut sample = Vec::with_capacity(2 * SAMPLE);
+        for group in [&mut near, &mut far] {
+            for _ in 0..SAMPLE.min(group.len()) {
+                let index = self.random.below(group.len() as u64) as usize;
+                sample.push(group.swap_remove(index));
+            }
+        }
+        sample
+    }
+
     /// Returns the shortest time until one of the candidates is expected to have a slot free.
     pub fn expected_room(&self, now: Millis, candidates: &[Candidate]) -> Option<Millis> {
         let common = self.common_time(candidates);
--- a/crates/traffic/src/pursuit.rs
+++ b/crates/traffic/src/pursuit.rs
@@ -24,6 +24,26 @@
 /// refusal that comes sooner leaves its caller the time to return.
 const ROUND_PARTS: [f64; 2] = [0.25, 0.5];
 
+/// Times that bound the wait of an offer for a slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OfferTimes {
+    /// Time left until the request is given up.
+    pub left: Millis,
+    /// Time left until the answer is worth less.
+    pub target: Millis,
+    /// Usual time of a run.
+    pub usual: Millis,
+}
+
+/// Parts of the time to spare that an offer may wait for a slot.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WaitParts {
+    /// In the first round, of the time to spare before the target.
+    pub first: f64,
+    /// In the last round, of the time to spare before the request is given up.
+    pub late: f64,
+}
+
 /// What to do after an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Next {
@@ -76,6 +96,14 @@
         self.round + 1 == ROUND_REFUSALS.len()
     }
 
+    /// Returns how long the next offer may wait for a slot.
+    pub fn patience(&self, times: OfferTimes, parts: WaitParts) -> Millis {
+        match self.is_last_round() {
+            false => part_of(times.target.since(times.usual), parts.first),
+            true => part_of(times.left.since(times.usual), parts.late),
+        }
+    }
+
     /// Returns whether no further offer is to be made in this round, `age` after the request came,
     /// as too many instances or too slowly refused it for lack of room.
     pub fn is_round_over(&self, age: Millis, target: Millis) -> bool {
@@ -180,3 +208,7 @@
         }
     }
 }
+
+fn part_of(span: Millis, part: f64) -> Millis {
+    Millis((span.0 as f64 * part) as u64)
+}
