--- a/crates/standin/src/users/server.rs
+++ b/crates/standin/src/users/server.rs
@@ -3,6 +3,7 @@
 use async_std::net::TcpListener;
 use async_std::task;
 use futures_lite::FutureExt;
+use futures_lite::future::pending;
 use rf_base::{Millis, SeededRandom};
 use rf_transport::h1::{Connection, Framing, ReadLimits, RequestHead, ResponseHead, frame_request};
 use std::io;
@@ -80,6 +81,8 @@
     most_running: u32,
     arrivals: Vec<Arrival>,
     deaths: u32,
+    /// Deaths after which the port was closed.
+    closed: u32,
 }
 
 /// A running backend server.
@@ -105,6 +108,7 @@
             most_running: 0,
             arrivals: Vec::new(),
             deaths: 0,
+            closed: 0,
         };
         let server = UsersServer {
             address: listener.local_addr()?,
@@ -117,18 +121,19 @@
     /// Accepts connections; those of a process that died are cut, and its port is closed for a while.
     async fn listen(self, mut listener: TcpListener) {
         loop {
-            let deaths = self.lock().deaths;
+            let deaths = self.lock().closed;
             let accepting = async {
                 while let Ok((stream, _)) = listener.accept().await {
                     let server = self.clone();
                     let living = async move { server.serve(Connection::new(stream)).await };
                     let server = self.clone();
-                    let dying = async move { server.wait_death(deaths).await };
+                    let dying = async move { server.wait_closed(deaths).await };
                     task::spawn(living.or(dying));
                 }
             };
             accepting.or(self.wait_death(deaths)).await;
             drop(listener);
+            self.lock().closed = deaths + 1;
             task::sleep(DOWN.duration()).await;
             listener = match TcpListener::bind(self.address).await {
                 Ok(listener) => listener,
@@ -143,6 +148,19 @@
         }
     }
 
+    /// Waits until the port is closed, so that no connection ends before that.
+    async fn wait_closed(&self, closed: u32) {
+        while self.lock().closed == closed {
+            task::sleep(LOOK.duration()).await;
+        }
+    }
+
+    /// Ends the process, unless it is ending already.
+    fn die(&self) {
+        let mut state = self.lock();
+        state.deaths = state.closed + 1;
+    }
+
     /// Returns how often the process died.
     pub fn deaths(&self) -> u32 {
         self.lock().deaths
@@ -259,10 +277,9 @@
         if let ServerBehaviour::DiesOf(text) = &behaviour
             && self.lock().arrivals[number].head.target.contains(text)
         {
-            self.lock().deaths += 1;
-            // The port closes no later than the connection does.
-            task::sleep(LOOK.duration() * 3).await;
-            return false;
+            self.die();
+            // The connection is cut with the others of this process.
+            return pending().await;
         }
         if !self.run(connection, number).await {
             return false;
