--- a/crates/proxy/src/control/machine.rs
+++ b/crates/proxy/src/control/machine.rs
@@ -521,21 +521,12 @@
         let me = self.membership.me();
         let roster = self.membership.roster();
         let mut by_service: BTreeMap<&ServiceName, Vec<ServerTarget>> = BTreeMap::new();
-        let mut leaving = by_service.clone();
-        for member in roster.reachable() {
+        for member in roster.reachable().filter(|m| !m.leaving) {
             if let Some(server) = &member.server {
                 let target = to_target(member, server, member.zone == me.zone);
-                let targets = match member.leaving {
-                    true => &mut leaving,
-                    false => &mut by_service,
-                };
-                targets.entry(&server.service).or_default().push(target);
+                by_service.entry(&server.service).or_default().push(target);
             }
         }
-        // A stopping proxy still takes what ends before it does; better than no server at all.
-        for (service, targets) in leaving {
-            by_service.entry(service).or_insert(targets);
-        }
         let services = by_service
             .into_iter()
             .map(|(service, targets)| {
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -147,11 +147,6 @@
             let since = *quiet_since.get_or_insert(now);
             let is_quiet = busy == 0 && now.since(since) >= STOP_QUIET;
             if is_quiet && now.since(start) >= MIN_STOP {
-                // Nothing may slip in between this look and the end of the process.
-                self.shared.gate.close();
-                if self.shared.gate.busy() > 0 {
-                    continue;
-                }
                 info!(event = "process.stopped", after = now.since(start).0);
                 return;
             }
