Build a proxy's settings in one place; look an object up once before it is replaced

Cause, found on the last read: the soak wrote the settings of a proxy out beside the test mesh, and the stand-in of the store checked existence and revision twice, once for the object and once for its status.

Change: `proxy_settings` gives the settings that the mesh and the soak vary; `expect` looks an object up with its revision. Behaviour unchanged: the soak keeps its limits, bounds and addresses. No product source is touched.

--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -7,9 +7,9 @@
 use async_std::task;
 use rf_base::{Incarnation, InstanceId, Millis};
 use rf_config::ProxySettings;
-use rf_config::proxy::{Bounds, LoadPolicy, LocalServer, ProcessLimits, ProxyListen};
+use rf_config::proxy::{Bounds, ProcessLimits};
 use rf_proxy::source::ProxyEntry;
-use rf_standin::users::mesh::call;
+use rf_standin::users::mesh::{call, proxy_settings};
 use rf_standin::users::{ServerBehaviour, StoreFault, UsersServer, UsersStore};
 use rustix::process::Signal;
 use serde_json::{Value, json};
@@ -559,35 +559,20 @@
         Link::start(at(8090), at(8080)).await?,
         Link::start(at(9020), store.address()).await?,
     ];
-    let proxy = ProxySettings {
-        instance: name.clone(),
-        zone: if number % 4 < 2 { "zone-a" } else { "zone-b" }.into(),
-        region: "region".to_owned(),
-        listen: ProxyListen {
-            callers: at(9001),
-            relay: at(9002),
-            relay_public: Some(at(9012)),
-            readiness: at(9003),
-            announcements: at(9004),
-        },
-        server: LocalServer {
-            service: service.into(),
-            address: at(8090),
-        },
-        store: at(9020),
-        limits: ProcessLimits {
-            memory: 128,
-            descriptors: 2048,
-            link: 1000.0,
-        },
-        bounds: Bounds {
-            grace: GRACE,
-            repeat_share: 0.2,
-            repeat_slack: 50.0,
-            trial_share: TRIAL_SHARE,
-        },
-        policy: LoadPolicy::default(),
-        log: "info".to_owned(),
+    let mut proxy = proxy_settings(&name, service, ip, at(9020));
+    proxy.zone = if number % 4 < 2 { "zone-a" } else { "zone-b" }.into();
+    proxy.listen.relay_public = Some(at(9012));
+    proxy.server.address = at(8090);
+    proxy.limits = ProcessLimits {
+        memory: 128,
+        descriptors: 2048,
+        ..proxy.limits
+    };
+    proxy.bounds = Bounds {
+        grace: GRACE,
+        repeat_slack: 50.0,
+        trial_share: TRIAL_SHARE,
+        ..proxy.bounds
     };
     let folder = settings.folder.join(&name);
     std::fs::create_dir_all(&folder)?;
--- a/crates/standin/src/users/mesh.rs
+++ b/crates/standin/src/users/mesh.rs
@@ -20,6 +20,10 @@
 const PATIENCE: Millis = Millis::from_secs(20);
 /// Longest wait for the answer to a call; a heartbeat counts if it is acknowledged within a second.
 const CALL_TIME: Millis = Millis(1000);
+/// Time from the signal to stop until the end, unless a mesh says otherwise.
+const GRACE: Millis = Millis(6000);
+/// Link of an instance in megabits a second, unless a mesh says otherwise.
+const LINK: f64 = 1000.0;
 /// Pause between two looks.
 const STEP: Millis = Millis(10);
 
@@ -44,8 +48,8 @@
             services: vec![("payments".to_owned(), 2)],
             slots: 4,
             network: 1,
-            grace: Millis(6000),
-            link: 1000.0,
+            grace: GRACE,
+            link: LINK,
         }
     }
 }
@@ -166,7 +170,9 @@
         let ip = IpAddr::V4(Ipv4Addr::new(127, 9, self.settings.network, number));
         let name = format!("{service}-{number}");
         let server = UsersServer::start(&format!("i-{name}"), SocketAddr::new(ip, 8080)).await?;
-        let settings = make_settings(&name, service, ip, &self.store, &self.settings);
+        let mut settings = proxy_settings(&name, service, ip, self.store.address());
+        settings.limits.link = self.settings.link;
+        settings.bounds.grace = self.settings.grace;
         let mut instance = Instance {
             name,
             service: service.to_owned(),
@@ -393,13 +399,8 @@
     })
 }
 
-fn make_settings(
-    name: &str,
-    service: &str,
-    ip: IpAddr,
-    store: &UsersStore,
-    mesh: &MeshSettings,
-) -> ProxySettings {
+/// Returns the settings of a proxy at `ip` with its backend server beside it.
+pub fn proxy_settings(name: &str, service: &str, ip: IpAddr, store: SocketAddr) -> ProxySettings {
     let at = |port| SocketAddr::new(ip, port);
     ProxySettings {
         instance: name.to_owned(),
@@ -416,14 +417,14 @@
             service: service.into(),
             address: at(8080),
         },
-        store: store.address(),
+        store,
         limits: ProcessLimits {
             memory: 256,
             descriptors: 4096,
-            link: mesh.link,
+            link: LINK,
         },
         bounds: Bounds {
-            grace: mesh.grace,
+            grace: GRACE,
             repeat_share: 0.2,
             repeat_slack: 56.0,
             trial_share: 0.1,
--- a/crates/standin/src/users/store.rs
+++ b/crates/standin/src/users/store.rs
@@ -183,7 +183,7 @@
             },
             ("GET", [kind, name]) => self.lock().get(kind, name),
             ("POST", [kind]) => self.lock().create(kind, &body),
-            ("PUT", [kind, name]) => self.lock().replace(kind, name, &body, None),
+            ("PUT", [kind, name]) => self.lock().replace(kind, name, &body),
             ("PUT", [kind, name, "status"]) => {
                 let expected = query.number("revision");
                 self.lock().replace_status(kind, name, &body, expected)
@@ -288,21 +288,27 @@
         self.get(kind, &name)
     }
 
-    fn replace(
-        &mut self,
+    /// Returns the object, or the answer to a call that finds none or another revision.
+    fn expect(
+        &self,
         kind: &str,
         name: &str,
-        body: &Value,
-        expected: Option<u64>,
-    ) -> (u16, Value) {
-        let Some(object) = self.standing(kind, name) else {
-            return (404, Value::Null);
-        };
-        let expected = expected.or_else(|| body["metadata"]["revision"].as_u64());
-        if expected.is_some_and(|e| e != object.revision) {
-            return (409, describe(name, object));
+        revision: Option<u64>,
+    ) -> Result<&Stored, (u16, Value)> {
+        let object = self.standing(kind, name).ok_or((404, Value::Null))?;
+        match revision.is_some_and(|r| r != object.revision) {
+            true => Err((409, describe(name, object))),
+            false => Ok(object),
         }
-        if object.spec != body["spec"] {
+    }
+
+    fn replace(&mut self, kind: &str, name: &str, body: &Value) -> (u16, Value) {
+        let revision = body["metadata"]["revision"].as_u64();
+        let changes = match self.expect(kind, name, revision) {
+            Ok(object) => object.spec != body["spec"],
+            Err(answer) => return answer,
+        };
+        if changes {
             self.put(kind, name, Some(body["spec"].clone()), None);
         }
         self.get(kind, name)
@@ -313,13 +319,10 @@
         kind: &str,
         name: &str,
         body: &Value,
-        expected: Option<u64>,
+        revision: Option<u64>,
     ) -> (u16, Value) {
-        let Some(object) = self.standing(kind, name) else {
-            return (404, Value::Null);
-        };
-        if expected.is_some_and(|e| e != object.revision) {
-            return (409, describe(name, object));
+        if let Err(answer) = self.expect(kind, name, revision) {
+            return answer;
         }
         self.put(kind, name, None, Some(body["status"].clone()));
         self.get(kind, name)
