Count each death of the same server; tell crashes until all know them

Strikes were kept by instance, and a request was refused after strikes from three instances. Where the second request's two attempts met the two servers that the first one had killed and that were back, four deaths counted as two, and the request went on: its log shows k-0 and k-1 both at instances 5 and 4, then four more deaths.

News not told in time: the proxies all logged both strikes within 140 ms.

A strike is one death: by instance and time, calls that end within 0.8 s at one instance count once. Those who judge by distinct instances (the daemon) still do. Found on the way, by reading: news of a crash were passed on for 1.6 s and never again, so a proxy that was frozen, cut off or new knew nothing of it. Proxies now compare digests of what they know, and tell the newest 128 requests' strikes again where they differ; absolutions travel as marks of the same kind.

Tests, failing before: once::a_request_that_kills_the_same_two_backend_servers_again_is_stopped_too, control::a_crash_is_told_until_every_neighbour_knows_it, strikes::each_death_of_the_same_server_counts_but_one_death_only_once.

--- a/crates/protocol/src/relay.rs
+++ b/crates/protocol/src/relay.rs
@@ -249,10 +249,12 @@
     pub table: Counter,
     /// Version changes that the sender knows.
     pub orders: Vec<OrderNews>,
+    /// Digest of all crashes that the sender knows; zero where it knows none.
+    pub crashes: u64,
     /// Crashes of backend servers, by request, that the sender learnt of lately.
     pub strikes: Vec<Strike>,
-    /// Fingerprints of requests with strikes that were answered with success lately.
-    pub absolved: Vec<u64>,
+    /// Those of them whose requests were answered with success since.
+    pub absolved: Vec<Strike>,
     /// Time since the store is known to have answered one of those who follow it.
     pub store_age: Millis,
 }
--- a/crates/proxy/src/control/machine.rs
+++ b/crates/proxy/src/control/machine.rs
@@ -31,6 +31,8 @@
 const INTRODUCTIONS: usize = 3;
 /// Time for which news of a crash are passed on; several exchanges with each neighbour.
 const STRIKE_NEWS: Millis = Millis(1600);
+/// Requests whose crashes are told again where a neighbour knows others; some tens of bytes each.
+const RETOLD: usize = 128;
 /// Time between two reports of what was observed of a version change.
 const OBSERVE_PAUSE: Millis = Millis(700);
 /// Proxies that judge a version change: its owner, and the next in rank.
@@ -75,10 +77,8 @@
     digest: Arc<TableDigest>,
     orders: Orders,
     strikes: StrikeBook,
-    /// Strikes that are told to others, with the time at which they were learnt.
-    fresh_strikes: Vec<(Millis, Strike)>,
-    /// Absolved requests that are told to others, with the time at which that was learnt.
-    fresh_absolved: Vec<(Millis, u64)>,
+    /// Requests whose strikes are told to others, with the time since when.
+    fresh_strikes: BTreeMap<u64, Millis>,
     /// Own observations as they were last sent, by order.
     sent_trials: BTreeMap<u64, u64>,
     next_observe: Millis,
@@ -118,8 +118,7 @@
             digest: Arc::default(),
             orders: Orders::default(),
             strikes: StrikeBook::default(),
-            fresh_strikes: Vec::new(),
-            fresh_absolved: Vec::new(),
+            fresh_strikes: BTreeMap::new(),
             sent_trials: BTreeMap::new(),
             next_observe: Millis::ZERO,
             store_seen: Millis::ZERO,
@@ -195,9 +194,10 @@
         self.fetch_table(now, actions);
         self.divide_duties(now, actions);
         self.fresh_strikes
-            .retain(|(learnt, _)| now.since(*learnt) < STRIKE_NEWS);
-        self.fresh_absolved
-            .retain(|(learnt, _)| now.since(*learnt) < STRIKE_NEWS);
+            .retain(|_, since| now.since(*since) < STRIKE_NEWS);
+        if self.strikes.prune(now) {
+            self.publish_strikes(actions);
+        }
         for (target, exchange) in self.membership.tick(now) {
             self.send_exchange(now, target, exchange, actions);
         }
@@ -269,11 +269,16 @@
     }
 
     fn news(&self, now: Millis) -> News {
+        let requests = self.fresh_strikes.keys();
+        let marks = requests.flat_map(|f| self.strikes.marks(*f));
+        let (absolved, strikes): (Vec<_>, Vec<_>) = marks.partition(|(_, absolved)| *absolved);
+        let strip = |marks: Vec<(Strike, bool)>| marks.into_iter().map(|(s, _)| s).collect();
         News {
             table: self.table.version,
             orders: self.orders.news(now),
-            strikes: self.fresh_strikes.iter().map(|(_, s)| *s).collect(),
-            absolved: self.fresh_absolved.iter().map(|(_, f)| *f).collect(),
+            crashes: self.strikes.digest(),
+            strikes: strip(strikes),
+            absolved: strip(absolved),
             store_age: now.since(self.store_seen),
         }
     }
@@ -342,8 +347,13 @@
         for strike in &news.strikes {
             self.take_strike(now, strike, actions);
         }
-        for fingerprint in &news.absolved {
-            self.absolve(now, *fingerprint, actions);
+        for strike in &news.absolved {
+            if self.strikes.merge_absolved(now, strike) {
+                self.spread_absolution(now, strike.fingerprint, actions);
+            }
+        }
+        if news.crashes != self.strikes.digest() {
+            self.retell_strikes(now);
         }
         if news.table > self.table.version
             && let Some(target) = from
@@ -395,19 +405,35 @@
             instance = %strike.instance,
             crashes = self.strikes.count(strike.fingerprint),
         );
-        self.fresh_strikes.push((now, *strike));
+        self.fresh_strikes.insert(strike.fingerprint, now);
         self.membership.kick(now);
-        actions.push(Action::Strikes(Box::new(self.strikes.clone())));
+        self.publish_strikes(actions);
     }
 
-    /// Takes in that a request with strikes was answered, here or elsewhere.
+    /// Takes in that a request with strikes was answered here.
     fn absolve(&mut self, now: Millis, fingerprint: u64, actions: &mut Vec<Action>) {
-        if !self.strikes.absolve(fingerprint) {
-            return;
+        if self.strikes.absolve(fingerprint) {
+            self.spread_absolution(now, fingerprint, actions);
         }
+    }
+
+    fn spread_absolution(&mut self, now: Millis, fingerprint: u64, actions: &mut Vec<Action>) {
         info!(event = "request.absolved", fingerprint);
-        self.fresh_absolved.push((now, fingerprint));
+        self.fresh_strikes.insert(fingerprint, now);
         self.membership.kick(now);
+        self.publish_strikes(actions);
+    }
+
+    /// Tells the newest strikes once more, because a neighbour does not know the same ones.
+    ///
+    /// A proxy that is new, or that was frozen or cut off while the others told each other of a
+    /// crash, learns of it so.
+    fn retell_strikes(&mut self, now: Millis) {
+        let newest = self.strikes.fingerprints().into_iter().take(RETOLD);
+        self.fresh_strikes.extend(newest.map(|f| (f, now)));
+    }
+
+    fn publish_strikes(&mut self, actions: &mut Vec<Action>) {
         actions.push(Action::Strikes(Box::new(self.strikes.clone())));
     }
 
--- a/crates/proxy/src/pursue.rs
+++ b/crates/proxy/src/pursue.rs
@@ -19,8 +19,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use tracing::info;
 
-/// Instances whose backend server may die of a request before it is refused. The rules of the
-/// users' platform count requests that crash a fourth server.
+/// Deaths of backend servers after which a request is refused. The rules of the users' platform
+/// count what reaches servers after the third.
 const MAX_CRASHES: usize = 3;
 /// Bytes of a message besides its body.
 const HEAD_BYTES: f64 = 700.0;
--- a/crates/proxy/tests/control.rs
+++ b/crates/proxy/tests/control.rs
@@ -4,7 +4,7 @@
 use rf_config::{Rollout, RolloutState, RouteTable};
 use rf_membership::Target;
 use rf_protocol::relay::{News, OrderNews, RelayReply};
-use rf_protocol::{ExchangeReply, Member};
+use rf_protocol::{Exchange, ExchangeReply, Member, Strike};
 use rf_proxy::control::event::Kind;
 use rf_proxy::control::machine::ControlSettings;
 use rf_proxy::control::orders::{Orders, VersionRule};
@@ -199,6 +199,66 @@
     assert_eq!(fetched(&beside), [neighbour(4)]);
 }
 
+/// What the proxy answers to a neighbour that tells `news`.
+fn exchanged(control: &mut Control, now: Millis, news: News) -> News {
+    let (sender, receiver) = async_channel::bounded(1);
+    let exchange = Box::new(Exchange::default());
+    let event = Event::Exchange(exchange, Box::new(news), sender);
+    let answer = |action| match action {
+        Action::Answer(_, answer) => Some(answer.1),
+        _ => None,
+    };
+    let actions = control.handle(now, event);
+    drop(receiver);
+    actions.into_iter().find_map(answer).expect("an answer")
+}
+
+/// A proxy that was away while the others told each other of a crash, or that is new.
+#[test]
+fn a_crash_is_told_until_every_neighbour_knows_it() {
+    let strike = Strike {
+        fingerprint: 7,
+        instance: InstanceId(3),
+        at: at(0),
+    };
+    let mut first = control();
+    first.handle(at(0), Event::Crashed(strike));
+    for tick in 1..50 {
+        first.handle(at(tick * 100), Event::Tick(Vec::new()));
+    }
+    let told = exchanged(&mut first, at(5000), News::default());
+    assert_eq!(told.strikes, [strike]);
+    let mut second = control();
+    let known = exchanged(&mut second, at(5000), told);
+    for tick in 50..80 {
+        first.handle(at(tick * 100), Event::Tick(Vec::new()));
+    }
+    let quiet = exchanged(&mut first, at(8000), known);
+    assert_eq!(quiet.strikes, [], "both know it");
+}
+
+#[test]
+fn an_absolution_is_told_until_every_neighbour_knows_it() {
+    let strike = Strike {
+        fingerprint: 7,
+        instance: InstanceId(3),
+        at: at(0),
+    };
+    let (mut first, mut second) = (control(), control());
+    first.handle(at(0), Event::Crashed(strike));
+    second.handle(at(0), Event::Crashed(strike));
+    first.handle(at(100), Event::Absolved(7));
+    for tick in 1..50 {
+        first.handle(at(tick * 100), Event::Tick(Vec::new()));
+        second.handle(at(tick * 100), Event::Tick(Vec::new()));
+    }
+    let guilty = exchanged(&mut second, at(5000), News::default());
+    let told = exchanged(&mut first, at(5000), guilty);
+    exchanged(&mut second, at(5010), told);
+    let quiet = exchanged(&mut second, at(8000), News::default());
+    assert_eq!(quiet.strikes, [], "it was answered elsewhere");
+}
+
 #[test]
 fn a_proxy_that_stays_behind_reads_the_store_itself() {
     let mut control = control();
--- a/crates/proxy/tests/once.rs
+++ b/crates/proxy/tests/once.rs
@@ -165,3 +165,34 @@
     let other = mesh.ask(1, &Ask::read("fine")).await.expect("an answer");
     assert_eq!(other.head.status, 200);
 }
+
+/// Each attempt meets one of the same two servers again, once it is back.
+#[async_std::test]
+async fn a_request_that_kills_the_same_two_backend_servers_again_is_stopped_too() {
+    let settings = MeshSettings {
+        network: 30,
+        services: vec![("payments".to_owned(), 2)],
+        ..MeshSettings::default()
+    };
+    let mesh = Mesh::start(settings).await.expect("the mesh starts");
+    for instance in &mesh.instances {
+        let deadly = ServerBehaviour::DiesOf("kill".to_owned());
+        instance.server.behave(deadly);
+    }
+    let ask = |number: usize| Ask {
+        target: "/read/kill".to_owned(),
+        ..Ask::read(&format!("k-{number}"))
+    };
+    for number in 0..2 {
+        mesh.ask(number, &ask(number)).await.expect("an answer");
+        task::sleep(DOWN.duration() * 2).await;
+    }
+    let deaths = || mesh.instances.iter().map(|i| i.server.deaths());
+    let before = deaths().sum::<u32>();
+    assert!((3..=4).contains(&before), "{before} deaths");
+    for number in 2..12 {
+        let answer = mesh.ask(number % 2, &ask(number)).await.expect("an answer");
+        assert_eq!(answer.head.status, 502);
+    }
+    assert_eq!(deaths().sum::<u32>(), before);
+}
--- a/crates/traffic/tests/strikes.rs
+++ b/crates/traffic/tests/strikes.rs
@@ -52,3 +52,43 @@
     assert_eq!(book.count(REQUEST), 3);
     assert!(!book.absolve(REQUEST + 1));
 }
+
+#[test]
+fn books_that_tell_each_other_their_marks_in_any_order_end_alike() {
+    let now = Millis(2000);
+    let tell = |from: &StrikeBook, to: &mut StrikeBook| {
+        for (strike, is_absolved) in from.marks(REQUEST) {
+            match is_absolved {
+                true => to.merge_absolved(now, &strike),
+                false => to.merge(now, &strike),
+            };
+        }
+    };
+    let (mut one, mut other) = (StrikeBook::default(), StrikeBook::default());
+    one.merge(now, &strike(1, 1000));
+    one.absolve(REQUEST);
+    one.merge(now, &strike(2, 1500));
+    other.merge(now, &strike(1, 1000));
+    other.merge(now, &strike(1, 1950));
+    other.merge(now, &strike(3, 1700));
+    assert_ne!(one.digest(), other.digest());
+    let before = one.clone();
+    tell(&other, &mut one);
+    tell(&before, &mut other);
+    assert_eq!(one.digest(), other.digest());
+    assert_eq!((one.count(REQUEST), other.count(REQUEST)), (3, 3));
+    one.prune(Millis(900_000));
+    assert_eq!(one.digest(), 0);
+}
+
+/// Two callers' attempts may meet the same server again once it is back.
+#[test]
+fn each_death_of_the_same_server_counts_but_one_death_only_once() {
+    let mut book = StrikeBook::default();
+    let now = Millis(9000);
+    assert!(book.merge(now, &strike(4, 1000)));
+    assert!(!book.merge(now, &strike(4, 1012)), "another call of it");
+    assert!(book.merge(now, &strike(4, 4000)));
+    assert!(book.merge(now, &strike(5, 4010)));
+    assert_eq!(book.count(REQUEST), 3);
+}
