Let a move go on after a stall of a good version

KNOWN-RED: a_move_of_the_deadline_policy_ends_early_under_load ended TakenBack where Done is due.

Cause, traced: with one backend server of the new version stopped for 700 ms (SIGSTOP from outside, 3.5 s after the start) the test fails as seen, and says "deadline reached at step 2 of 3, with 1036 calls on the new version": the stall lifts the statistic of slowness over the line of holding but not over that of braking, and nothing lowers it again, since a window without a bad call says nothing about odds. The move holds until its deadline. Any process that the machine does not run for half a second does that.

Ruled out: stops of the platform, of a daemon beside the old or new version, of a server of the old version (0.7 s each: passed). A brake: no verdict was given.

After so many good calls on the new version that its own share of bad ones would make them with a chance under 1 %, the statistic goes back to half the line of holding. Lowering it can only make false alarms rarer.

A stall that makes half of all calls slow for a second still brakes the move: not changed, since a version that hangs does the same.

--- a/crates/rollout/src/judge.rs
+++ b/crates/rollout/src/judge.rs
@@ -13,6 +13,12 @@
 //! nonnegative supermartingale, up to that sum, and by Ville's inequality it ever reaches
 //! `1 / alpha` with probability at most `alpha`, whatever the number of looks.
 //!
+//! A window without a bad call says nothing about odds, so after a stall of a good version the
+//! statistic would stand between the lines of holding and of braking for ever. Once the new version
+//! has run so many calls without a bad one that its own share of bad ones would make that unlikely
+//! ([`CALM_CHANCE`]), the statistic goes back to half the line of holding. Lowering it only makes false
+//! alarms rarer.
+//!
 //! A call is slow if it took at least twice the time below which nine in ten of the old version's
 //! earlier calls stayed; the limit comes from earlier windows only, so it does not depend on the
 //! window that it judges. Latencies of a backend server in its cold start do not count.
@@ -36,6 +42,9 @@
 /// Part of the threshold at which a move holds instead of advancing.
 const SUSPECT_PART: f64 = 0.02;
 
+/// Chance that a version that is as bad as it seems makes a run of good calls that ends a hold.
+const CALM_CHANCE: f64 = 0.01;
+
 /// Statistic below which the calls counted so far are no grounds for a verdict.
 const FORGET: f64 = 0.1;
 
@@ -120,6 +129,8 @@
 struct Test {
     statistics: [f64; RATIOS.len()],
     recent: Margins,
+    /// Calls on the new version since its last bad one.
+    clean_calls: u64,
 }
 
 /// Counts of both versions in one window.
@@ -282,6 +293,7 @@
     fn update(&mut self, key: TestKey, margins: Margins, weight: f64) {
         let test = self.tests.entry(key).or_default();
         test.update(&margins, weight);
+        test.calm(self.threshold * SUSPECT_PART);
         if test.top() > self.threshold && self.verdict.is_none() {
             self.verdict = Some(format!("{key}: {}", test.describe()));
         }
@@ -295,11 +307,29 @@
             *statistic = (*statistic + weight) * likelihood;
         }
         self.recent.merge(margins);
+        self.clean_calls = match margins.new_bad {
+            0 => self.clean_calls + margins.new_calls,
+            _ => 0,
+        };
         if self.top() < FORGET {
             self.recent = Margins::default();
         }
     }
 
+    /// Lowers the statistics to half of `line` after a run of good calls that is too long for a version
+    /// as bad as this one seemed.
+    fn calm(&mut self, line: f64) {
+        let bad_share = self.recent.new_bad as f64 / self.recent.new_calls.max(1) as f64;
+        let run_chance = (1.0 - bad_share).powf(self.clean_calls as f64);
+        if self.top() <= line || run_chance > CALM_CHANCE {
+            return;
+        }
+        for statistic in &mut self.statistics {
+            *statistic = statistic.min(line / 2.0);
+        }
+        self.recent = Margins::default();
+    }
+
     fn top(&self) -> f64 {
         self.statistics.iter().copied().fold(0.0, f64::max)
     }
