Spare the store calls at starts and while it is away

The entries read at the start serve for both purposes; the entry is replaced where that reading showed it, and read again only where there were fewer than eight, or nobody is known. While the store stays away twice as many follow it every 1.5 s: 10, 20, 40, all, instead of all at six seconds.

Fewer than five followers in ordinary times: they are the margin for a store that refuses some machines.

Tests: control::more_and_more_proxies_follow_a_store_that_stays_away (40 instead of 10 before), store::an_object_that_exists_is_replaced_in_one_call.

--- a/crates/proxy/src/control/machine.rs
+++ b/crates/proxy/src/control/machine.rs
@@ -40,8 +40,13 @@
 const JUDGES: usize = 2;
 /// Proxies that follow a topic of the store for all.
 const FOLLOWERS: usize = 5;
-/// Time without a sign of the store after which every proxy follows it.
+/// Time without a sign of the store after which more proxies follow it.
 const STORE_STALE: Millis = Millis(6000);
+/// Time after which twice as many do. Most outages end before all do, and whatever reaches only
+/// some is reached by one of them soon.
+const STORE_SPREAD: Millis = Millis(1500);
+/// Doublings at most; more proxies than any mesh has.
+const MAX_DOUBLINGS: u64 = 16;
 /// Time that a new proxy waits for its neighbours' table before it reads the store.
 const PATIENCE: Millis = Millis(350);
 
@@ -235,17 +240,23 @@
 
     /// Takes the store's topics on that are this proxy's to follow.
     ///
-    /// A few proxies follow each topic for all; where the store seems to answer none of them, the
-    /// others do so too until it is known to answer.
+    /// A few proxies follow each topic for all; where the store seems to answer none of them, more
+    /// and more others do so too until it is known to answer.
     fn divide_duties(&mut self, now: Millis, actions: &mut Vec<Action>) {
-        let is_stale = now.since(self.store_seen) >= STORE_STALE;
+        let stale = now.since(self.store_seen + STORE_STALE);
+        let is_stale = now >= self.store_seen + STORE_STALE;
+        let doublings = match is_stale {
+            true => 1 + stale.0 / STORE_SPREAD.0,
+            false => 0,
+        };
+        let count = FOLLOWERS << doublings.min(MAX_DOUBLINGS);
         let is_behind = self.fetch.is_behind(now);
         let is_known = self.table.version.0 > 0;
         let is_early = !is_known && now.since(self.started) < PATIENCE;
         for topic in [Topic::Table, Topic::Rollouts] {
-            let followers = self.rank(topic as u64 + 1, FOLLOWERS);
+            let followers = self.rank(topic as u64 + 1, count);
             let is_late = topic == Topic::Table && is_behind;
-            let is_mine = followers.contains(&self.id()) || is_stale || is_late || !is_known;
+            let is_mine = followers.contains(&self.id()) || is_late || !is_known;
             let is_mine = is_mine && !is_early;
             let was_mine = match is_mine {
                 true => !self.duties.insert(topic),
--- a/crates/proxy/src/control/sync.rs
+++ b/crates/proxy/src/control/sync.rs
@@ -26,8 +26,8 @@
 const MAX_PAUSE: Millis = Millis(1200);
 /// Pause before the entries are read again while few proxies are known.
 const ENTRIES_PAUSE: Millis = Millis(1500);
-/// Readings of the entries after a start.
-const ENTRIES_ROUNDS: u32 = 2;
+/// Entries read at the start below which they are read once more.
+const FEW_ENTRIES: usize = 8;
 
 /// Whether the store answers, as seen by all tasks.
 #[derive(Debug, Default)]
@@ -88,8 +88,14 @@
 }
 
 impl<D: Send + std::marker::Sync + 'static, S: Source> Sync<D, S> {
-    /// Starts the tasks.
-    pub fn start(shared: Arc<Shared<D>>, source: S, events: Sender<Event>, entry: ProxyEntry) {
+    /// Starts the tasks; `known` are the entries that were read at the start.
+    pub fn start(
+        shared: Arc<Shared<D>>,
+        source: S,
+        events: Sender<Event>,
+        entry: ProxyEntry,
+        known: Vec<ProxyEntry>,
+    ) {
         let sync = Arc::new(Sync {
             shared,
             source,
@@ -100,7 +106,7 @@
             let sync = sync.clone();
             task::spawn(async move { sync.follow(topic).await });
         }
-        task::spawn(async move { sync.meet(&entry).await });
+        task::spawn(async move { sync.meet(&entry, known).await });
     }
 
     async fn follow(&self, topic: Topic) {
@@ -174,25 +180,28 @@
         }
     }
 
-    /// Writes this proxy's entry and reads those of the others.
-    async fn meet(&self, entry: &ProxyEntry) {
+    /// Makes this proxy known to the others, writes its entry, and reads theirs while it knows few.
+    async fn meet(&self, entry: &ProxyEntry, known: Vec<ProxyEntry>) {
+        let is_recorded = known.iter().any(|e| e.instance == entry.instance);
+        // Proxies that start together read before the others have written.
+        let mut is_sparse = known.len() < FEW_ENTRIES;
+        self.events.send(Event::Entries(known)).await.ok();
         let mut backoff = Backoff::new();
         loop {
-            let registered = self.source.register(entry).await;
+            let registered = self.source.register(entry, is_recorded).await;
             self.count("register", &registered);
             match registered {
                 Ok(()) => break,
                 Err(_) => backoff.wait(&self.shared).await,
             }
         }
-        let mut rounds = 0;
         loop {
             let is_alone = self.shared.view.load().proxies <= 1;
-            if rounds < ENTRIES_ROUNDS || is_alone {
+            if is_sparse || is_alone {
                 let entries = self.source.entries().await;
                 self.count("entries", &entries);
                 if let Ok(entries) = entries {
-                    rounds += 1;
+                    is_sparse = false;
                     self.events.send(Event::Entries(entries)).await.ok();
                 }
             }
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -82,7 +82,7 @@
         let readiness = bind(listen.readiness).await?;
         let announcements = bind(listen.announcements).await?;
         let me = InstanceId::of(&settings.instance);
-        let life = find_life(&source, me, &clock).await;
+        let (life, entries) = find_life(&source, me, &clock).await;
         let seed = hash_key(format!("{} {life}", settings.instance).as_bytes());
         let mut random = SeededRandom::new(seed);
         let started = clock.now();
@@ -101,7 +101,7 @@
         Driver::new(shared.clone(), source.clone(), events.clone())
             .spawn(control, inbox)
             .context(ThreadSnafu)?;
-        Sync::start(shared.clone(), source, events.clone(), entry);
+        Sync::start(shared.clone(), source, events.clone(), entry, entries);
         task::spawn(ingress::serve(shared.clone(), callers));
         task::spawn(peers::serve(shared.clone(), relay));
         for listener in [readiness, announcements] {
@@ -166,23 +166,27 @@
 }
 
 /// Returns a life that is later than the one recorded in the store, even if the wall clock was set
-/// back since.
-async fn find_life<S: Source>(source: &S, me: InstanceId, clock: &Clock) -> Incarnation {
+/// back since, and the entries of all proxies, where the store told them.
+async fn find_life<S: Source>(
+    source: &S,
+    me: InstanceId,
+    clock: &Clock,
+) -> (Incarnation, Vec<ProxyEntry>) {
     let now = clock.now().0;
-    let entries = timeout(LIFE_TIME.duration(), source.entries()).await;
-    let recorded = match &entries {
-        Ok(Ok(entries)) => entries.iter().find(|e| e.instance == me),
+    let entries = match timeout(LIFE_TIME.duration(), source.entries()).await {
+        Ok(Ok(entries)) => entries,
         Ok(Err(error)) => {
             warn!(event = "life.unconfirmed", %error);
-            None
+            Vec::new()
         }
         Err(_) => {
             warn!(event = "life.unconfirmed", error = "no answer in time");
-            None
+            Vec::new()
         }
     };
+    let recorded = entries.iter().find(|e| e.instance == me);
     let least = recorded.map_or(0, |e| e.life.0 + 1);
-    Incarnation(now.max(least))
+    (Incarnation(now.max(least)), entries)
 }
 
 fn make_control(
--- a/crates/proxy/src/source.rs
+++ b/crates/proxy/src/source.rs
@@ -92,8 +92,12 @@
         limit: Millis,
     ) -> impl Future<Output = Result<Snapshot>> + Send;
 
-    /// Writes this proxy's entry.
-    fn register(&self, entry: &ProxyEntry) -> impl Future<Output = Result<()>> + Send;
+    /// Writes this proxy's entry; `is_recorded` tells whether there probably is one to replace.
+    fn register(
+        &self,
+        entry: &ProxyEntry,
+        is_recorded: bool,
+    ) -> impl Future<Output = Result<()>> + Send;
 
     /// Removes the entry of a proxy that is gone.
     fn unregister(&self, instance: InstanceId) -> impl Future<Output = Result<()>> + Send;
--- a/crates/proxy/tests/control.rs
+++ b/crates/proxy/tests/control.rs
@@ -18,8 +18,12 @@
 }
 
 fn control() -> Control {
+    control_of("a")
+}
+
+fn control_of(name: &str) -> Control {
     let settings = ControlSettings {
-        name: "a".to_owned(),
+        name: name.to_owned(),
         zone: "z".into(),
         region: "r".to_owned(),
         relay: "10.0.0.1:1".parse().expect("an address"),
@@ -278,3 +282,45 @@
     let level = control.handle(at(1200), Event::Tick(Vec::new()));
     assert_eq!(followed(&level), [(Topic::Table, false)]);
 }
+
+/// How many of forty proxies follow the store, the given time after it answered last.
+fn followers_after(silence: u64) -> usize {
+    let names: Vec<String> = (0..40).map(|i| format!("p{i}")).collect();
+    let others = |name: &str| {
+        let described = |other: &String| Member {
+            id: InstanceId::of(other),
+            ..member(1)
+        };
+        let others = names.iter().filter(|o| *o != name);
+        others.map(described).collect::<Vec<_>>()
+    };
+    let mut count = 0;
+    for name in &names {
+        let mut control = control_of(name);
+        control.handle(at(0), stored(5));
+        control.handle(at(0), Event::StoreAnswered);
+        for other in others(name) {
+            control.handle(at(0), Event::Told(Box::new(other)));
+        }
+        let mut follows = false;
+        for time in (0..=silence).step_by(100) {
+            for (topic, is_mine) in followed(&control.handle(at(time), Event::Tick(Vec::new()))) {
+                if topic == Topic::Table {
+                    follows = is_mine;
+                }
+            }
+        }
+        count += usize::from(follows);
+    }
+    count
+}
+
+/// Most outages are short, and each call while one lasts is wasted; where the store refuses only
+/// some, the next ones reach it.
+#[test]
+fn more_and_more_proxies_follow_a_store_that_stays_away() {
+    assert_eq!(followers_after(5000), 5);
+    assert_eq!(followers_after(6500), 10);
+    assert_eq!(followers_after(8000), 20);
+    assert_eq!(followers_after(11_000), 40);
+}
--- a/crates/proxy/tests/store.rs
+++ b/crates/proxy/tests/store.rs
@@ -2,8 +2,9 @@
 
 use async_std::task;
 use rf_base::Millis;
+use rf_platform::objects::{ObjectClient, Reading};
 use rf_standin::users::mesh::{Ask, wait_until};
-use rf_standin::users::{Mesh, MeshSettings, ServerBehaviour, StoreFault};
+use rf_standin::users::{Mesh, MeshSettings, ServerBehaviour, StoreFault, UsersStore};
 use serde_json::{Value, json};
 
 async fn start(network: u8, services: &[(&str, usize)]) -> Mesh {
@@ -238,3 +239,23 @@
     }
     assert_eq!(mesh.instances[added].server.arrivals().len(), exposed);
 }
+
+#[async_std::test]
+async fn an_object_that_exists_is_replaced_in_one_call() {
+    let store = UsersStore::start().await.expect("the store starts");
+    let client = ObjectClient::new(store.address());
+    let spec = json!({ "life": 1 });
+    client.put("proxies", "p-1", &spec).await.expect("created");
+    let before = store.calls();
+    client
+        .replace("proxies", "p-1", &spec)
+        .await
+        .expect("replaced");
+    assert_eq!(store.calls() - before, 1);
+    client
+        .replace("proxies", "p-2", &spec)
+        .await
+        .expect("created");
+    let listing = client.list("proxies", Reading::Stale).await;
+    assert_eq!(listing.expect("listed").objects.len(), 2);
+}
