Shorten schedules of the soak; look only at what changed

At 100 instances the judge looked at every request so far in each of its looks, twice a second, so the run did not end (cut after 150 s). A broken seed could be shortened only by hand. A soak that was ended from outside left its processes behind.

Taking the same addresses for each play of a shortening: the sockets of the play before are still open ("address already in use", 32 plays in a row); each play has a network of its own now.

--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -94,6 +94,8 @@
     /// Runs of the requests that may run once.
     runs: BTreeMap<String, u32>,
     arrived: BTreeSet<String>,
+    /// Requests of which something was seen since the last look at runs.
+    touched: BTreeSet<String>,
     /// Arrivals that were looked at, by instance.
     read: BTreeMap<usize, usize>,
 }
@@ -136,6 +138,7 @@
     pub fn take(&self, exchange: &Exchange) {
         let at = self.age();
         let mut state = self.lock();
+        state.touched.insert(exchange.request.clone());
         if exchange.is_once {
             state.once.insert(exchange.request.clone());
         }
@@ -219,6 +222,7 @@
                         arrival.request, arrival.process
                     )
                 });
+                state.touched.insert(arrival.request.clone());
                 *state.runs.entry(arrival.request.clone()).or_default() += 1;
             }
         }
@@ -285,9 +289,13 @@
         }
     }
 
+    /// Checks the runs of the requests of which something was seen since the last time.
     fn check_runs(&mut self, at: Millis) {
-        let once = std::mem::take(&mut self.once);
-        for request in &once {
+        let touched = std::mem::take(&mut self.touched);
+        for request in &touched {
+            if !self.once.contains(request) {
+                continue;
+            }
             let runs = self.runs.get(request).copied().unwrap_or_default();
             let is_refused = self.refused.contains(request);
             self.check(at, Promise::Once, runs <= 1, || {
@@ -299,6 +307,5 @@
                 });
             }
         }
-        self.once = once;
     }
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod link;
 pub mod plan;
 pub mod run;
+pub mod shorten;
 pub mod world;
 
 pub use plan::{Fault, Plan, Shape};
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -2,9 +2,18 @@
 
 use async_std::task;
 use bpaf::{OptionParser, Parser, construct, long};
+use rf_soak::child::end_all;
+use rf_soak::shorten::shorten;
 use rf_soak::{Report, SoakSettings, play};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::thread;
+
+/// Network of the next run; the sockets of an earlier run may still be open.
+static NEXT_NETWORK: AtomicU16 = AtomicU16::new(0);
 
 #[derive(Clone, Debug)]
 struct Options {
@@ -15,6 +24,7 @@
     instances: usize,
     jobs: usize,
     only: Option<String>,
+    shorten: bool,
 }
 
 fn parser() -> OptionParser<Options> {
@@ -46,6 +56,9 @@
         .help("Numbers of the faults to play, to shorten a schedule: 0,3,7")
         .argument("NUMBERS")
         .optional();
+    let shorten = long("shorten")
+        .help("Leave out faults of each broken seed while it still breaks a promise")
+        .switch();
     let options = construct!(Options {
         program,
         folder,
@@ -53,7 +66,8 @@
         seeds,
         instances,
         jobs,
-        only
+        only,
+        shorten
     });
     let options = options.guard(|o| (4..=250).contains(&o.instances), "4 to 250 instances");
     options
@@ -71,6 +85,10 @@
             return ExitCode::from(2);
         }
     };
+    if let Err(error) = watch_signals() {
+        eprintln!("error: cannot handle signals: {error}");
+        return ExitCode::from(2);
+    }
     let seeds: Vec<u64> = (options.first..options.first + options.seeds).collect();
     let mut broken = Vec::new();
     for chunk in seeds.chunks(options.jobs) {
@@ -80,6 +98,9 @@
                     println!("{}", report.lines().join("\n"));
                     if !report.violations.is_empty() {
                         broken.push(*seed);
+                        if options.shorten {
+                            print_shortened(&options, &report);
+                        }
                     }
                 }
                 Err(error) => {
@@ -96,6 +117,47 @@
     }
 }
 
+/// Ends the processes of the soak with it.
+fn watch_signals() -> std::io::Result<()> {
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    let builder = thread::Builder::new().name("signals".to_owned());
+    builder.spawn(move || {
+        if let Some(number) = signals.forever().next() {
+            end_all(128 + number);
+        }
+    })?;
+    Ok(())
+}
+
+/// Prints the shortest part of a schedule that still breaks one of the promises.
+fn print_shortened(options: &Options, report: &Report) {
+    let seed = report.plan.seed;
+    let promises: Vec<_> = report.violations.iter().map(|v| v.promise).collect();
+    let breaks = |only: Vec<usize>| {
+        let settings = settings_of(options, seed, &only);
+        let promises = promises.clone();
+        async move {
+            match play(&settings).await {
+                Ok(report) => report
+                    .violations
+                    .iter()
+                    .any(|v| promises.contains(&v.promise)),
+                Err(error) => {
+                    println!("seed {seed}: cannot be played: {error}");
+                    false
+                }
+            }
+        }
+    };
+    let all = (0..report.plan.steps.len()).collect();
+    let shortest = task::block_on(shorten(all, breaks));
+    let numbers: Vec<String> = shortest.iter().map(ToString::to_string).collect();
+    println!(
+        "seed {seed}: still breaks with --only {}",
+        numbers.join(",")
+    );
+}
+
 fn parse_numbers(text: &str) -> Result<Vec<usize>, std::num::ParseIntError> {
     text.split(',').map(|n| n.trim().parse()).collect()
 }
@@ -105,14 +167,7 @@
     let runs: Vec<_> = seeds
         .iter()
         .map(|seed| {
-            let settings = SoakSettings {
-                program: options.program.clone(),
-                folder: options.folder.join(format!("seed-{seed}")),
-                seed: *seed,
-                instances: options.instances,
-                network: (*seed - options.first) as u16,
-                only: only.to_vec(),
-            };
+            let settings = settings_of(options, *seed, only);
             task::spawn(async move { play(&settings).await })
         })
         .collect();
@@ -124,3 +179,14 @@
         results
     })
 }
+
+fn settings_of(options: &Options, seed: u64, only: &[usize]) -> SoakSettings {
+    SoakSettings {
+        program: options.program.clone(),
+        folder: options.folder.join(format!("seed-{seed}")),
+        seed,
+        instances: options.instances,
+        network: NEXT_NETWORK.fetch_add(1, Ordering::Relaxed),
+        only: only.to_vec(),
+    }
+}
--- /dev/null
+++ b/crates/soak/src/shorten.rs
@@ -0,0 +1,45 @@
+//! Shortens the schedule of a seed that breaks a promise.
+//!
+//! Delta debugging: parts of the schedule are left out, first halves, then ever smaller parts, as
+//! long as the rest still breaks the promise. What is left is needed for the failure, as far as a
+//! run of real processes repeats itself.
+
+use std::future::Future;
+
+/// Returns the shortest list found among parts of `numbers` for which `breaks` holds.
+pub async fn shorten<F, Fut>(numbers: Vec<usize>, mut breaks: F) -> Vec<usize>
+where
+    F: FnMut(Vec<usize>) -> Fut,
+    Fut: Future<Output = bool>,
+{
+    let mut kept = numbers;
+    let mut parts = 2;
+    while kept.len() >= 2 {
+        match leave_out(&kept, parts, &mut breaks).await {
+            Some(shorter) => {
+                kept = shorter;
+                parts = parts.saturating_sub(1).max(2);
+            }
+            None if parts < kept.len() => parts = (parts * 2).min(kept.len()),
+            None => break,
+        }
+    }
+    kept
+}
+
+/// Leaves out one of `parts` parts, if what is left still breaks.
+async fn leave_out<F, Fut>(kept: &[usize], parts: usize, breaks: &mut F) -> Option<Vec<usize>>
+where
+    F: FnMut(Vec<usize>) -> Fut,
+    Fut: Future<Output = bool>,
+{
+    let size = kept.len().div_ceil(parts);
+    for start in (0..kept.len()).step_by(size) {
+        let end = (start + size).min(kept.len());
+        let rest = [&kept[..start], &kept[end..]].concat();
+        if !rest.is_empty() && breaks(rest.clone()).await {
+            return Some(rest);
+        }
+    }
+    None
+}
