Test that news cross between zones without carriers

Cause: the fallback of the carriers (rosters of two zones compared once they differ) was proved only by reading. Ruled out: that floods of the same zone alone explain it; the test cuts the changed daemon and every carrier of its zone off from all other zones, and checks that these are five at most. Change: network::news_cross_without_carriers_once_rosters_are_compared, on the virtual clock. Conclusion: the news are known in all zones within 15 s, while alerts of the cuts keep the rosters changing.

--- a/crates/standin/tests/network.rs
+++ b/crates/standin/tests/network.rs
@@ -2,6 +2,7 @@
 
 use proptest::prelude::*;
 use rf_base::{Counter, Incarnation, InstanceId, Millis};
+use rf_membership::overlay::is_carrier;
 use rf_membership::{Adopted, Distribution, Reachability};
 use rf_protocol::Exchange;
 use rf_standin::network::{Network, Weather, config, make_node, name};
@@ -172,6 +173,41 @@
     assert!(large_took <= Millis(1500), "known after {large_took}");
 }
 
+/// Neither the daemon that changed nor any carrier of its zone reaches another zone.
+#[test]
+fn news_cross_without_carriers_once_rosters_are_compared() {
+    let mut network = Network::new(60, 4, 13);
+    network
+        .run_until(Millis(20_000), Network::all_know_each_other)
+        .expect("joined");
+    network.run(Millis(5000));
+    let subject = 8;
+    let id = InstanceId::of(&name(subject));
+    let zone = |n: &Network, i: usize| n.nodes[i].membership.me().zone.clone();
+    let home = zone(&network, subject);
+    let carries = |n: &Network, i: usize| {
+        let membership = &n.nodes[i].membership;
+        is_carrier(membership.me(), id, membership.roster().reachable())
+    };
+    let (near, far): (Vec<_>, Vec<_>) = (0..60).partition(|i| zone(&network, *i) == home);
+    let mute = near.into_iter().filter(|i| carries(&network, *i));
+    let mute: Vec<usize> = mute.collect();
+    assert!(mute.contains(&subject) && mute.len() <= 5, "{mute:?}");
+    for i in &mute {
+        network.cut.extend(far.iter().map(|f| (*i, *f)));
+    }
+    let now = network.now;
+    network.nodes[subject] = make_node(subject, 4, 2, now);
+    let is_known = |n: &Network| {
+        n.up().all(|node| {
+            let member = node.membership.roster().get(id);
+            member.is_some_and(|m| m.incarnation == Incarnation(2))
+        })
+    };
+    let took = network.run_until(Millis(15_000), is_known);
+    assert!(took.is_some(), "not known in other zones");
+}
+
 #[test]
 fn a_zone_cut_off_is_unreachable_but_not_forgotten() {
     let mut network = Network::new(24, 3, 6);
