Keep a server's withdrawal over a restart of the process beside it

Where a withdrawal names no start and none is known, an announcement of that id counts only if its life began after the withdrawal, for 60 s. Another id at the address is not held up.

Tests: resident::a_withdrawal_that_names_no_start_outlasts_late_heartbeats fails before (Opened), and a_withdrawal_does_not_stop_the_process_that_takes_the_place. The other tests of withdrawals are as they were, with the time as an argument. rf-traffic resident: 8 passed.

--- a/crates/proxy/src/host.rs
+++ b/crates/proxy/src/host.rs
@@ -85,7 +85,7 @@
         }
         HostCall::Withdraw { id, born } => {
             let mut residence = lock(residence);
-            let change = residence.withdraw(&id, born);
+            let change = residence.withdraw(shared.now(), &id, born);
             apply(shared, &residence, change);
             info!(event = "server.withdrawn", id, born, ?change);
             (200, Vec::new())
--- a/crates/traffic/src/resident.rs
+++ b/crates/traffic/src/resident.rs
@@ -58,6 +58,10 @@
     Departed,
 }
 
+/// Time after a withdrawal within which heartbeats sent before it may still arrive; the partitions
+/// of the users' days last some ten seconds.
+const LATE_HEARTBEAT: Millis = Millis::from_secs(60);
+
 /// What an announcement led to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -79,6 +83,8 @@
     /// Start and number of the newest announcement, with the process it came from.
     newest: Option<(u64, u64, String)>,
     has_departed: bool,
+    /// Process whose start was never told when it withdrew, with the time of the withdrawal.
+    withdrawn: Option<(String, Millis)>,
     resident: Option<Resident>,
 }
 
@@ -90,6 +96,7 @@
             service,
             newest: None,
             has_departed: false,
+            withdrawn: None,
             resident: None,
         }
     }
@@ -104,6 +111,9 @@
         if news.address != self.address || news.service != self.service {
             return Change::Ignored(Ignored::Foreign);
         }
+        if self.is_withdrawn(now, news) {
+            return Change::Ignored(Ignored::Departed);
+        }
         if let Some((born, seq, id)) = &self.newest {
             let is_same = *id == news.id && *born == news.born;
             if news.born < *born || (is_same && news.seq <= *seq) {
@@ -147,7 +157,7 @@
     }
 
     /// Takes in that the process `id` leaves; `born` is its start where it said so.
-    pub fn withdraw(&mut self, id: &str, born: Option<u64>) -> Change {
+    pub fn withdraw(&mut self, now: Millis, id: &str, born: Option<u64>) -> Change {
         match &self.newest {
             Some((newest, _, known)) if known == id => {
                 if born.is_some_and(|b| b < *newest) {
@@ -159,12 +169,26 @@
                 Change::Ignored(Ignored::Stale)
             }
             _ => {
+                if born.is_none() {
+                    self.withdrawn = Some((id.to_owned(), now));
+                }
                 self.newest = Some((born.unwrap_or(0), u64::MAX, id.to_owned()));
                 self.close()
             }
         }
     }
 
+    /// Returns whether an announcement was sent before its process withdrew.
+    ///
+    /// A daemon that started in between knows the process by its withdrawal alone, and takes a
+    /// late heartbeat for news of another life unless that life began after the withdrawal.
+    fn is_withdrawn(&self, now: Millis, news: &Announcement) -> bool {
+        let withdrawn = self.withdrawn.as_ref();
+        withdrawn.is_some_and(|(id, at)| {
+            *id == news.id && news.born <= at.0 && now.since(*at) < LATE_HEARTBEAT
+        })
+    }
+
     fn close(&mut self) -> Change {
         self.has_departed = true;
         match self.resident.take() {
--- a/crates/traffic/tests/resident.rs
+++ b/crates/traffic/tests/resident.rs
@@ -3,6 +3,9 @@
 use rf_base::{Millis, ServiceName};
 use rf_traffic::resident::{Announcement, Change, Ignored, Residence};
 
+/// Time of every announcement and withdrawal that says no other.
+const NOW: Millis = Millis(1000);
+
 fn news(id: &str, born: u64, seq: u64, is_ready: bool) -> Announcement {
     Announcement {
         id: id.to_owned(),
@@ -23,7 +26,7 @@
 }
 
 fn announce(residence: &mut Residence, news: &Announcement) -> Change {
-    residence.announce(Millis(1000), news)
+    residence.announce(NOW, news)
 }
 
 #[test]
@@ -61,7 +64,7 @@
     announce(&mut residence, &news("b", 20, 1, true));
     let old = announce(&mut residence, &news("a", 10, 99, true));
     assert_eq!(old, Change::Ignored(Ignored::Stale));
-    let gone = residence.withdraw("a", Some(10));
+    let gone = residence.withdraw(NOW, "a", Some(10));
     assert_eq!(gone, Change::Ignored(Ignored::Stale));
     assert_eq!(residence.resident().map(|r| r.id.as_str()), Some("b"));
 }
@@ -70,7 +73,7 @@
 fn a_process_that_starts_again_under_its_id_counts_anew() {
     let mut residence = residence();
     announce(&mut residence, &news("a", 10, 50, true));
-    assert_eq!(residence.withdraw("a", None), Change::Closed);
+    assert_eq!(residence.withdraw(NOW, "a", None), Change::Closed);
     assert_eq!(
         announce(&mut residence, &news("a", 11, 1, true)),
         Change::Opened
@@ -81,7 +84,7 @@
 fn a_withdrawal_closes_without_a_word_before() {
     let mut residence = residence();
     announce(&mut residence, &news("a", 10, 1, true));
-    assert_eq!(residence.withdraw("a", Some(10)), Change::Closed);
+    assert_eq!(residence.withdraw(NOW, "a", Some(10)), Change::Closed);
     let late = announce(&mut residence, &news("a", 10, 2, true));
     assert!(matches!(late, Change::Ignored(_)));
 }
@@ -103,3 +106,24 @@
     );
     assert!(residence.resident().is_none());
 }
+
+/// The process beside it restarted, so it knows the backend server by its withdrawal alone; a
+/// heartbeat from before arrives seconds later.
+#[test]
+fn a_withdrawal_that_names_no_start_outlasts_late_heartbeats() {
+    let mut residence = residence();
+    assert_eq!(residence.withdraw(NOW, "a", None), Change::Same);
+    let late = residence.announce(NOW + Millis(2300), &news("a", 10, 18, true));
+    assert_eq!(late, Change::Ignored(Ignored::Departed));
+    assert!(residence.resident().is_none());
+    let later_life = residence.announce(NOW + Millis(5000), &news("a", 4000, 1, true));
+    assert_eq!(later_life, Change::Opened);
+}
+
+#[test]
+fn a_withdrawal_does_not_stop_the_process_that_takes_the_place() {
+    let mut residence = residence();
+    residence.withdraw(NOW, "a", None);
+    let successor = residence.announce(NOW + Millis(100), &news("b", 900, 1, true));
+    assert_eq!(successor, Change::Opened);
+}
