Say once what the change said twice; split selection from the control machine

Splitting the soak's world (609 lines) into instance and world: tried and taken back, since nearly every field of an instance would have to be opened for it. Joining the withdrawal of a server whose start is unknown with the newest announcement: a start of its own there would hold up a successor with another id.

Behaviour, bounds and assertions are as before; the test of the store's client makes the same calls through put.

--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -214,7 +214,7 @@
 
     /// Returns the digests of the parts, where it is time to compare the rosters with `to`.
     fn compare(&mut self, now: Millis, to: InstanceId) -> Vec<u64> {
-        let is_near = self.is_near(to);
+        let is_near = self.roster.may_be_in(to, &self.me.zone);
         let heartbeat = self.settings.heartbeat.0;
         let link = self.links.entry(to).or_default();
         let Some(difference) = &mut link.difference else {
@@ -417,17 +417,10 @@
         // What this daemon itself found out has not reached a carrier yet.
         let carries = from.is_none() || is_carrier(&self.me, subject, self.roster.reachable());
         let (roster, zone) = (&self.roster, &self.me.zone);
-        let is_near = move |id| roster.get(id).is_none_or(|m| m.zone == *zone);
         let links = self.links.iter_mut();
         links
             .filter(move |(to, _)| Some(**to) != from && **to != subject)
-            .filter(move |(to, _)| carries || is_near(**to))
+            .filter(move |(to, _)| carries || roster.may_be_in(**to, zone))
             .map(|(_, link)| link)
     }
-
-    /// Returns whether a daemon is in this one's zone, or in none that is known.
-    fn is_near(&self, id: InstanceId) -> bool {
-        let member = self.roster.get(id);
-        member.is_none_or(|m| m.zone == self.me.zone)
-    }
 }
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -113,6 +113,11 @@
         self.entries.len()
     }
 
+    /// Returns whether a daemon is in `zone`, or in none that is known.
+    pub fn may_be_in(&self, id: InstanceId, zone: &ZoneName) -> bool {
+        self.get(id).is_none_or(|m| m.zone == *zone)
+    }
+
     /// Returns whether no daemon is known.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
--- a/crates/proxy/src/control/machine.rs
+++ b/crates/proxy/src/control/machine.rs
@@ -6,18 +6,17 @@
 
 use super::event::{Action, Event, ExchangeSender, Kind};
 use super::fetch::TableFetch;
-use super::orders::{Orders, VersionRule};
+use super::orders::Orders;
+use super::select::{new_lives, select, to_target};
 use crate::source::{ProxyEntry, Snapshot, Topic};
-use crate::view::{ServiceView, Target as ServerTarget, TrialView, View};
-use rf_base::{
-    Counter, Incarnation, InstanceId, Millis, SeededRandom, ServiceName, VersionName, ZoneName,
-};
+use crate::view::{Target as ServerTarget, View};
+use rf_base::{Counter, Incarnation, InstanceId, Millis, SeededRandom, ServiceName, ZoneName};
 use rf_config::{RouteTable, TableDigest, TablePatch};
 use rf_membership::overlay::compute_ranked;
 use rf_membership::{Membership, MembershipSettings, Target};
 use rf_protocol::relay::{News, RelayReply, RelayRequest, Trial};
 use rf_protocol::{Exchange, Member, ServerInfo, Strike};
-use rf_traffic::{Candidate, Resident, StrikeBook};
+use rf_traffic::{Resident, StrikeBook};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -243,12 +242,8 @@
     /// A few proxies follow each topic for all; where the store seems to answer none of them, more
     /// and more others do so too until it is known to answer.
     fn divide_duties(&mut self, now: Millis, actions: &mut Vec<Action>) {
-        let stale = now.since(self.store_seen + STORE_STALE);
-        let is_stale = now >= self.store_seen + STORE_STALE;
-        let doublings = match is_stale {
-            true => 1 + stale.0 / STORE_SPREAD.0,
-            false => 0,
-        };
+        let silence = now.since(self.store_seen).0.checked_sub(STORE_STALE.0);
+        let doublings = silence.map_or(0, |s| 1 + s / STORE_SPREAD.0);
         let count = FOLLOWERS << doublings.min(MAX_DOUBLINGS);
         let is_behind = self.fetch.is_behind(now);
         let is_known = self.table.version.0 > 0;
@@ -594,80 +589,3 @@
         }
     }
 }
-
-fn to_target(member: &Member, server: &ServerInfo, is_near: bool) -> ServerTarget {
-    ServerTarget {
-        instance: member.id,
-        life: member.incarnation,
-        relay: member.relay,
-        version: server.version.clone(),
-        candidate: Candidate {
-            instance: member.id,
-            slots: server.slots,
-            is_near,
-        },
-    }
-}
-
-/// Selects the servers that a rule allows.
-fn select(rule: &VersionRule, targets: Vec<ServerTarget>) -> ServiceView {
-    let (targets, trial) = match rule {
-        VersionRule::Any => {
-            let common = common_version(&targets);
-            let chosen = targets
-                .into_iter()
-                .filter(|t| Some(&t.version) == common.as_ref());
-            (chosen.collect(), None)
-        }
-        VersionRule::Only(version) => {
-            let chosen = targets.into_iter().filter(|t| t.version == *version);
-            (chosen.collect(), None)
-        }
-        VersionRule::Except(version) => {
-            let chosen = targets.into_iter().filter(|t| t.version != *version);
-            (chosen.collect(), None)
-        }
-        VersionRule::Try {
-            order,
-            version,
-            since,
-            duration,
-        } => {
-            let (new, old): (Vec<_>, Vec<_>) =
-                targets.into_iter().partition(|t| t.version == *version);
-            let trial = TrialView {
-                order: *order,
-                since: *since,
-                duration: *duration,
-                targets: new,
-            };
-            (old, Some(trial))
-        }
-    };
-    ServiceView { targets, trial }
-}
-
-/// Returns the version that most servers run; a version that was never ordered gets nothing.
-fn common_version(targets: &[ServerTarget]) -> Option<VersionName> {
-    let mut counts: BTreeMap<&VersionName, usize> = BTreeMap::new();
-    for target in targets {
-        *counts.entry(&target.version).or_default() += 1;
-    }
-    let most = counts.values().copied().max()?;
-    let first = counts.into_iter().find(|(_, count)| *count == most);
-    first.map(|(version, _)| version.clone())
-}
-
-/// Returns the instances that `after` shows in another life, or for the first time.
-fn new_lives(before: &View, after: &View) -> Vec<InstanceId> {
-    let lives = |view: &View| -> BTreeMap<InstanceId, Incarnation> {
-        let targets = view.services.values().flat_map(|s| &s.targets);
-        targets.map(|t| (t.instance, t.life)).collect()
-    };
-    let known = lives(before);
-    lives(after)
-        .into_iter()
-        .filter(|(instance, life)| known.get(instance) != Some(life))
-        .map(|(instance, _)| instance)
-        .collect()
-}
--- a/crates/proxy/src/control/mod.rs
+++ b/crates/proxy/src/control/mod.rs
@@ -8,6 +8,7 @@
 pub mod fetch;
 pub mod machine;
 pub mod orders;
+pub mod select;
 pub mod sync;
 
 pub use event::{Action, Event};
--- /dev/null
+++ b/crates/proxy/src/control/select.rs
@@ -0,0 +1,86 @@
+//! Which backend servers of a service may get requests, by the rule for its versions.
+
+use super::orders::VersionRule;
+use crate::view::{ServiceView, Target as ServerTarget, TrialView, View};
+use rf_base::{Incarnation, InstanceId, VersionName};
+use rf_protocol::{Member, ServerInfo};
+use rf_traffic::Candidate;
+use std::collections::BTreeMap;
+
+/// Makes the target of a member's backend server.
+pub fn to_target(member: &Member, server: &ServerInfo, is_near: bool) -> ServerTarget {
+    ServerTarget {
+        instance: member.id,
+        life: member.incarnation,
+        relay: member.relay,
+        version: server.version.clone(),
+        candidate: Candidate {
+            instance: member.id,
+            slots: server.slots,
+            is_near,
+        },
+    }
+}
+
+/// Selects the servers that a rule allows.
+pub fn select(rule: &VersionRule, targets: Vec<ServerTarget>) -> ServiceView {
+    let (targets, trial) = match rule {
+        VersionRule::Any => {
+            let common = common_version(&targets);
+            let chosen = targets
+                .into_iter()
+                .filter(|t| Some(&t.version) == common.as_ref());
+            (chosen.collect(), None)
+        }
+        VersionRule::Only(version) => {
+            let chosen = targets.into_iter().filter(|t| t.version == *version);
+            (chosen.collect(), None)
+        }
+        VersionRule::Except(version) => {
+            let chosen = targets.into_iter().filter(|t| t.version != *version);
+            (chosen.collect(), None)
+        }
+        VersionRule::Try {
+            order,
+            version,
+            since,
+            duration,
+        } => {
+            let (new, old): (Vec<_>, Vec<_>) =
+                targets.into_iter().partition(|t| t.version == *version);
+            let trial = TrialView {
+                order: *order,
+                since: *since,
+                duration: *duration,
+                targets: new,
+            };
+            (old, Some(trial))
+        }
+    };
+    ServiceView { targets, trial }
+}
+
+/// Returns the version that most servers run; a version that was never ordered gets nothing.
+fn common_version(targets: &[ServerTarget]) -> Option<VersionName> {
+    let mut counts: BTreeMap<&VersionName, usize> = BTreeMap::new();
+    for target in targets {
+        *counts.entry(&target.version).or_default() += 1;
+    }
+    let most = counts.values().copied().max()?;
+    let first = counts.into_iter().find(|(_, count)| *count == most);
+    first.map(|(version, _)| version.clone())
+}
+
+/// Returns the instances that `after` shows in another life, or for the first time.
+pub fn new_lives(before: &View, after: &View) -> Vec<InstanceId> {
+    let lives = |view: &View| -> BTreeMap<InstanceId, Incarnation> {
+        let targets = view.services.values().flat_map(|s| &s.targets);
+        targets.map(|t| (t.instance, t.life)).collect()
+    };
+    let known = lives(before);
+    lives(after)
+        .into_iter()
+        .filter(|(instance, life)| known.get(instance) != Some(life))
+        .map(|(instance, _)| instance)
+        .collect()
+}
--- a/crates/proxy/tests/once.rs
+++ b/crates/proxy/tests/once.rs
@@ -124,11 +124,11 @@
     assert!((350..900).contains(&took), "answered after {took} ms");
 }
 
-#[async_std::test]
-async fn a_request_that_kills_backend_servers_reaches_three_of_them_wherever_it_comes() {
+/// Starts a mesh of `count` backend servers that die of the request of [`ask_kill`].
+async fn start_mortal(network: u8, count: usize) -> Mesh {
     let settings = MeshSettings {
-        network: 29,
-        services: vec![("payments".to_owned(), 5)],
+        network,
+        services: vec![("payments".to_owned(), count)],
         ..MeshSettings::default()
     };
     let mesh = Mesh::start(settings).await.expect("the mesh starts");
@@ -136,32 +136,45 @@
         let deadly = ServerBehaviour::DiesOf("kill".to_owned());
         instance.server.behave(deadly);
     }
-    let deaths = || {
-        mesh.instances
-            .iter()
-            .map(|i| i.server.deaths())
-            .sum::<u32>()
-    };
-    let ask = |number: usize| Ask {
+    mesh
+}
+
+fn ask_kill(number: usize) -> Ask {
+    Ask {
         target: "/read/kill".to_owned(),
         ..Ask::read(&format!("k-{number}"))
-    };
+    }
+}
+
+fn deaths(mesh: &Mesh) -> u32 {
+    mesh.instances.iter().map(|i| i.server.deaths()).sum()
+}
+
+#[async_std::test]
+async fn a_request_that_kills_backend_servers_reaches_three_of_them_wherever_it_comes() {
+    let mesh = start_mortal(29, 5).await;
     for number in 0..10 {
-        let answer = mesh.ask(number % 5, &ask(number)).await.expect("an answer");
+        let answer = mesh
+            .ask(number % 5, &ask_kill(number))
+            .await
+            .expect("an answer");
         assert!(answer.head.status >= 500, "{}", answer.head.status);
-        if deaths() >= 3 {
+        if deaths(&mesh) >= 3 {
             break;
         }
         task::sleep(DOWN.duration() * 2).await;
     }
     task::sleep(STABLE.duration()).await;
-    let before = deaths();
+    let before = deaths(&mesh);
     assert!((3..=4).contains(&before), "{before} deaths");
     for number in 10..30 {
-        let answer = mesh.ask(number % 5, &ask(number)).await.expect("an answer");
+        let answer = mesh
+            .ask(number % 5, &ask_kill(number))
+            .await
+            .expect("an answer");
         assert_eq!(answer.head.status, 502);
     }
-    assert_eq!(deaths(), before);
+    assert_eq!(deaths(&mesh), before);
     let other = mesh.ask(1, &Ask::read("fine")).await.expect("an answer");
     assert_eq!(other.head.status, 200);
 }
@@ -169,30 +182,21 @@
 /// Each attempt meets one of the same two servers again, once it is back.
 #[async_std::test]
 async fn a_request_that_kills_the_same_two_backend_servers_again_is_stopped_too() {
-    let settings = MeshSettings {
-        network: 30,
-        services: vec![("payments".to_owned(), 2)],
-        ..MeshSettings::default()
-    };
-    let mesh = Mesh::start(settings).await.expect("the mesh starts");
-    for instance in &mesh.instances {
-        let deadly = ServerBehaviour::DiesOf("kill".to_owned());
-        instance.server.behave(deadly);
-    }
-    let ask = |number: usize| Ask {
-        target: "/read/kill".to_owned(),
-        ..Ask::read(&format!("k-{number}"))
-    };
+    let mesh = start_mortal(30, 2).await;
     for number in 0..2 {
-        mesh.ask(number, &ask(number)).await.expect("an answer");
+        mesh.ask(number, &ask_kill(number))
+            .await
+            .expect("an answer");
         task::sleep(DOWN.duration() * 2).await;
     }
-    let deaths = || mesh.instances.iter().map(|i| i.server.deaths());
-    let before = deaths().sum::<u32>();
+    let before = deaths(&mesh);
     assert!((3..=4).contains(&before), "{before} deaths");
     for number in 2..12 {
-        let answer = mesh.ask(number % 2, &ask(number)).await.expect("an answer");
+        let answer = mesh
+            .ask(number % 2, &ask_kill(number))
+            .await
+            .expect("an answer");
         assert_eq!(answer.head.status, 502);
     }
-    assert_eq!(deaths().sum::<u32>(), before);
+    assert_eq!(deaths(&mesh), before);
 }
--- a/crates/proxy/tests/store.rs
+++ b/crates/proxy/tests/store.rs
@@ -245,15 +245,18 @@
     let store = UsersStore::start().await.expect("the store starts");
     let client = ObjectClient::new(store.address());
     let spec = json!({ "life": 1 });
-    client.put("proxies", "p-1", &spec).await.expect("created");
+    client
+        .put("proxies", "p-1", &spec, false)
+        .await
+        .expect("created");
     let before = store.calls();
     client
-        .replace("proxies", "p-1", &spec)
+        .put("proxies", "p-1", &spec, true)
         .await
         .expect("replaced");
     assert_eq!(store.calls() - before, 1);
     client
-        .replace("proxies", "p-2", &spec)
+        .put("proxies", "p-2", &spec, true)
         .await
         .expect("created");
     let listing = client.list("proxies", Reading::Stale).await;
--- a/crates/rollout/tests/judge.rs
+++ b/crates/rollout/tests/judge.rs
@@ -75,17 +75,19 @@
     }
 }
 
+/// Returns the window of at most `windows` after which a version with these failures is found bad.
+fn find_bad(windows: u64, failures: impl Fn(u64) -> u32) -> Option<usize> {
+    let mut judge = judge();
+    (0..windows).position(|step| {
+        let opinion = observe(&mut judge, START + step, failures(step), 0);
+        matches!(opinion, Opinion::Bad(_))
+    })
+}
+
 /// One call in forty fails, and none on the old version.
 #[test]
 fn a_version_that_fails_now_and_then_is_found() {
-    let mut judge = judge();
-    let found = (0..60).position(|step| {
-        let failures = u32::from(step % 2 == 0);
-        matches!(
-            observe(&mut judge, START + step, failures, 0),
-            Opinion::Bad(_)
-        )
-    });
+    let found = find_bad(60, |step| u32::from(step % 2 == 0));
     let windows = found.expect("it is found");
     assert!(windows < 40, "after {windows} windows");
 }
@@ -93,13 +95,6 @@
 /// One call in two hundred fails: gaps between its failures are no proof of health.
 #[test]
 fn a_version_that_fails_seldom_is_found() {
-    let mut judge = judge();
-    let found = (0..400).position(|step| {
-        let failures = u32::from(step % 10 == 0);
-        matches!(
-            observe(&mut judge, START + step, failures, 0),
-            Opinion::Bad(_)
-        )
-    });
+    let found = find_bad(400, |step| u32::from(step % 10 == 0));
     assert!(found.is_some());
 }
--- a/crates/standin/src/network.rs
+++ b/crates/standin/src/network.rs
@@ -271,6 +271,14 @@
         Some(self.now.since(start))
     }
 
+    /// Returns whether every daemon knows `id` in the given life.
+    pub fn all_know_life(&self, id: InstanceId, life: u64) -> bool {
+        self.up().all(|node| {
+            let member = node.membership.roster().get(id);
+            member.is_some_and(|m| m.incarnation == Incarnation(life))
+        })
+    }
+
     /// Returns the daemons that run.
     pub fn up(&self) -> impl Iterator<Item = &Node> {
         self.nodes.iter().filter(|n| n.is_up)
--- a/crates/standin/tests/network.rs
+++ b/crates/standin/tests/network.rs
@@ -1,7 +1,7 @@
 //! Membership and distribution under loss, cuts and restarts, on a virtual clock.
 
 use proptest::prelude::*;
-use rf_base::{Counter, Incarnation, InstanceId, Millis};
+use rf_base::{Counter, InstanceId, Millis};
 use rf_membership::overlay::is_carrier;
 use rf_membership::{Adopted, Distribution, Reachability};
 use rf_protocol::Exchange;
@@ -114,14 +114,8 @@
     let now = network.now;
     network.nodes[4] = make_node(4, 2, 2, now);
     let id = InstanceId::of(&name(4));
-    let is_replaced = |n: &Network| {
-        n.up().all(|node| {
-            let member = node.membership.roster().get(id);
-            member.is_some_and(|m| m.incarnation == Incarnation(2))
-        })
-    };
     let back = network.run_until(Millis(15_000), |n| {
-        n.all_know_each_other() && n.all_run(3) && is_replaced(n)
+        n.all_know_each_other() && n.all_run(3) && n.all_know_life(id, 2)
     });
     assert!(back.is_some(), "not back");
 }
@@ -145,14 +139,8 @@
         let now = network.now;
         network.nodes[i * 10] = make_node(i * 10, 4, 2, now);
         let id = InstanceId::of(&name(i * 10));
-        let is_known = |n: &Network| {
-            let knows = |m: &rf_membership::Membership| {
-                let member = m.roster().get(id);
-                member.is_some_and(|m| m.incarnation == Incarnation(2))
-            };
-            n.up().all(|node| knows(&node.membership))
-        };
-        let took = network.run_until(Millis(10_000), is_known).expect("known");
+        let took = network.run_until(Millis(10_000), |n| n.all_know_life(id, 2));
+        let took = took.expect("known");
         longest = longest.max(took);
         network.run(Millis(1000) - took);
     }
@@ -198,13 +186,7 @@
     }
     let now = network.now;
     network.nodes[subject] = make_node(subject, 4, 2, now);
-    let is_known = |n: &Network| {
-        n.up().all(|node| {
-            let member = node.membership.roster().get(id);
-            member.is_some_and(|m| m.incarnation == Incarnation(2))
-        })
-    };
-    let took = network.run_until(Millis(15_000), is_known);
+    let took = network.run_until(Millis(15_000), |n| n.all_know_life(id, 2));
     assert!(took.is_some(), "not known in other zones");
 }
 
