Learn nothing of room from calls that a backend server sheds

The door of the chain (traffic::chain) held tracker's runs back, and the part of the more urgent requests that is served fell as well, so status-check was refused 3,147 times though slots were free.

Change: a call or request whose last attempt was shed is told apart (Reason::Shed, CallEnd::Shed). It counts neither for nor against the part that is served, and the run that made it is not marked as starved, so it may be repeated elsewhere.

Test: gate::runs_are_begun_while_a_called_service_sheds_half_of_its_arrivals; its twin shows that refusals for lack of room still hold runs back.

--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -86,6 +86,8 @@
     Late,
     /// It was refused for lack of room.
     Refused,
+    /// A backend server turned it away though its gate had a slot: nothing is learnt about room.
+    Shed,
 }
 
 /// A slot at the backend server, held by one attempt.
@@ -200,9 +202,11 @@
         };
         *running.calls.entry(service.clone()).or_default() += 1;
         running.is_starved |= end == CallEnd::Refused;
-        let priority = running.parent.priority;
-        let is_timely = end == CallEnd::Served;
-        inner.chains.observe(now, service, priority, is_timely);
+        if end != CallEnd::Shed {
+            let priority = running.parent.priority;
+            let is_timely = end == CallEnd::Served;
+            inner.chains.observe(now, service, priority, is_timely);
+        }
     }
 
     fn is_starved(&self, request: &str) -> bool {
--- a/crates/proxy/src/ingress.rs
+++ b/crates/proxy/src/ingress.rs
@@ -304,22 +304,16 @@
     };
     let limit = deadline.since(shared.now()) + FINAL_GRACE;
     let end = timeout(limit.duration(), pursue(shared, call)).await;
-    let is_accepted = match &end {
-        Ok(Final::Refused(reason, _)) => *reason == Reason::Crashing,
-        Ok(_) => true,
-        Err(_) => progress.may_have_run(),
+    let call_end = match &end {
+        Ok(Final::Refused(Reason::Shed, _)) => CallEnd::Shed,
+        Ok(Final::Refused(reason, _)) if *reason != Reason::Crashing => CallEnd::Refused,
+        Err(_) if !progress.may_have_run() => CallEnd::Refused,
+        _ if shared.now().since(start) > route.target => CallEnd::Late,
+        _ => CallEnd::Served,
     };
     match shared.dialect.parent_of(&request) {
-        Some(parent) => {
-            let is_late = shared.now().since(start) > route.target;
-            let end = match (is_accepted, is_late) {
-                (false, _) => CallEnd::Refused,
-                (true, true) => CallEnd::Late,
-                (true, false) => CallEnd::Served,
-            };
-            shared.gate.observe_call(parent, service, end);
-        }
-        None => shared.observe_served(service, route.priority, is_accepted),
+        Some(parent) => shared.gate.observe_call(parent, service, call_end),
+        None => shared.observe_end(service, route.priority, call_end),
     }
     match end {
         Ok(Final::Answer(answer)) => (pass_on(answer), Verdict::Ran, "answered"),
--- a/crates/proxy/src/pursue.rs
+++ b/crates/proxy/src/pursue.rs
@@ -99,6 +99,8 @@
     Crashing,
     /// A service that its run calls has no room.
     Starved,
+    /// A backend server turned it away although its gate had a slot for it.
+    Shed,
     /// Its time passed while it waited.
     Expired,
 }
@@ -111,6 +113,7 @@
             Reason::Busy => "busy",
             Reason::Crashing => "crashing",
             Reason::Starved => "starved",
+            Reason::Shed => "shed",
             Reason::Expired => "expired",
         }
     }
@@ -413,6 +416,7 @@
             _ if candidates.is_empty() => Reason::NoServer,
             Some(EndKind::NotRun(Rejection::Expired)) => Reason::Expired,
             Some(EndKind::NotRun(Rejection::Starved(_))) => Reason::Starved,
+            Some(EndKind::NotRun(Rejection::Shed)) => Reason::Shed,
             _ => Reason::Busy,
         };
         let room = pursuit.room().unwrap_or_default();
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -1,7 +1,7 @@
 //! State that the tasks of the traffic half share.
 
 use crate::control::Event;
-use crate::gate::Gate;
+use crate::gate::{CallEnd, Gate};
 use crate::metrics::Metrics;
 use crate::receiving::Inlet;
 use crate::sending::Outlet;
@@ -194,8 +194,13 @@
         lock(&self.random).jitter(limit)
     }
 
-    /// Takes in the end of a caller's request: whether it was refused for lack of room.
-    pub fn observe_served(&self, service: &ServiceName, priority: u8, is_served: bool) {
+    /// Takes in how a caller's request ended, as far as the load of its service goes.
+    pub fn observe_end(&self, service: &ServiceName, priority: u8, end: CallEnd) {
+        let is_served = match end {
+            CallEnd::Served | CallEnd::Late => true,
+            CallEnd::Refused => false,
+            CallEnd::Shed => return,
+        };
         lock(&self.returns).observe(self.now(), service, priority, is_served);
     }
 
--- a/crates/proxy/tests/gate.rs
+++ b/crates/proxy/tests/gate.rs
@@ -3,9 +3,10 @@
 use rf_base::{AttemptId, Clock, Counter, Incarnation, InstanceId, Millis, SeededRandom};
 use rf_config::Repeat;
 use rf_protocol::relay::{
-    AttemptKey, AttemptOrder, AttemptTerms, LedgerAnswer, Payload, Rejection,
+    AttemptEnd, AttemptKey, AttemptOrder, AttemptTerms, LedgerAnswer, Payload, Rejection,
+    ServerAnswer,
 };
-use rf_proxy::gate::Gate;
+use rf_proxy::gate::{CallEnd, Gate};
 use rf_traffic::Resident;
 use std::sync::Arc;
 
@@ -93,3 +94,47 @@
     let entered = async_std::task::block_on(gate.enter(&order));
     assert!(matches!(entered, Err(Rejection::Revoked)), "{entered:?}");
 }
+
+/// Runs a request whose one call of `callee` ends as given; returns why it was not begun.
+fn run_with_call(gate: &Gate, id: u64, callee: &str, call: CallEnd) -> Result<(), Rejection> {
+    let order = order(id, 10);
+    let pass = async_std::task::block_on(gate.enter(&order))?;
+    gate.observe_call(&order.request, &callee.into(), call);
+    pass.finish(AttemptEnd::Answered(ServerAnswer {
+        status: 200,
+        headers: Vec::new(),
+        body: Vec::new(),
+        is_starved: false,
+    }));
+    Ok(())
+}
+
+#[test]
+fn runs_are_begun_while_a_called_service_sheds_half_of_its_arrivals() {
+    let gate = open_gate();
+    for id in 0..20 {
+        run_with_call(&gate, id, "ledger", CallEnd::Served).expect("nothing was refused yet");
+    }
+    for id in 20..200 {
+        let call = match id % 2 {
+            0 => CallEnd::Shed,
+            _ => CallEnd::Served,
+        };
+        let begun = run_with_call(&gate, id, "ledger", call);
+        assert!(begun.is_ok(), "run {id}: {begun:?}");
+    }
+}
+
+#[test]
+fn runs_are_held_back_while_a_called_service_has_no_room() {
+    let gate = open_gate();
+    let mut held = 0;
+    for id in 0..200 {
+        let call = match id < 20 {
+            true => CallEnd::Served,
+            false => CallEnd::Refused,
+        };
+        held += u32::from(run_with_call(&gate, id, "ledger", call).is_err());
+    }
+    assert!(held > 90, "{held} of 180 were held back");
+}
