Count a caller's target from its first try; give late work only idle slots

Change: traffic::age derives the least age of a request from the longest time that callers of the route come with; the target counts from the first try. A request that can't be in time is refused at once while timely ones are refused at that gate, and a late run is begun only where its calls are nearly all served. Returns and the fair bound count timely requests only. Switches (policy.mechanisms) for the ablation.

--- a/crates/config/src/proxy.rs
+++ b/crates/config/src/proxy.rs
@@ -79,6 +79,48 @@
     pub nested_reserve: f64,
     /// What a kilobyte that leaves the availability zone costs, as time in milliseconds.
     pub distance: f64,
+    /// Mechanisms that may be switched off to see what they are worth; read at the start.
+    pub mechanisms: Mechanisms,
+}
+
+/// Mechanisms of load control, each of which may be switched off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields, rename_all = "camelCase")]
+pub struct Mechanisms {
+    /// The target of a request that comes back counts from its first try.
+    pub caller_age: bool,
+    /// Work that can't be in time any more takes only slots that would stay idle.
+    pub idle_late: bool,
+    /// Runs are begun only as often as their calls are served.
+    pub chain_door: bool,
+    /// Runs are begun no more often than more urgent requests of the callee are served.
+    pub fair_bound: bool,
+    /// Pauses of refused callers follow from the part of the requests that is served.
+    pub returns: bool,
+    /// Servers in the same availability zone are taken while they are safely in time.
+    pub near_first: bool,
+    /// Reports of load fade with their age.
+    pub fading: bool,
+    /// Scores of servers carry noise.
+    pub noise: bool,
+    /// The time of a run is known by route.
+    pub route_time: bool,
+}
+
+impl Default for Mechanisms {
+    fn default() -> Self {
+        Mechanisms {
+            caller_age: true,
+            idle_late: true,
+            chain_door: true,
+            fair_bound: true,
+            returns: true,
+            near_first: true,
+            fading: true,
+            noise: true,
+            route_time: true,
+        }
+    }
 }
 
 impl ProxyListen {
@@ -95,6 +137,7 @@
             late_wait: 0.3,
             nested_reserve: 0.5,
             distance: 30.0,
+            mechanisms: Mechanisms::default(),
         }
     }
 }
--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -7,13 +7,15 @@
 
 use async_channel::{Receiver, Sender, bounded};
 use rf_base::{AttemptId, Clock, Incarnation, InstanceId, Millis, SeededRandom, ServiceName};
-use rf_config::Repeat;
+use rf_config::{Mechanisms, Repeat};
 use rf_protocol::AttemptHeader;
 use rf_protocol::relay::{
     AttemptEnd, AttemptKey, AttemptOrder, AttemptTerms, LedgerAnswer, LoadReport, Loss, Rejection,
 };
-use rf_traffic::admission::{Entry, Place, Queue, Wakeups, Wish};
-use rf_traffic::{Begin, Chains, Knowledge, Ledger, LedgerSettings, Resident, Returns};
+use rf_traffic::admission::{Entry, Place, Queue, QueueSettings, Wakeups, Wish};
+use rf_traffic::{
+    Begin, ChainSettings, Chains, Knowledge, Ledger, LedgerSettings, Resident, Returns, Start,
+};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -123,7 +125,16 @@
         life: Incarnation,
         random: SeededRandom,
         returns: Arc<Mutex<Returns>>,
+        mechanisms: Mechanisms,
     ) -> Gate {
+        let queue = QueueSettings {
+            idle_late: mechanisms.idle_late,
+            route_time: mechanisms.route_time,
+        };
+        let chains = ChainSettings {
+            door: mechanisms.chain_door,
+            fair_bound: mechanisms.fair_bound,
+        };
         let settings = LedgerSettings {
             instance: me,
             incarnation: life,
@@ -132,14 +143,14 @@
             keep_answer: KEEP_ANSWER,
         };
         let inner = Inner {
-            queue: Queue::new(0),
+            queue: Queue::with_settings(0, queue),
             ledger: Ledger::new(settings),
             waiters: BTreeMap::new(),
             pending: BTreeSet::new(),
             coming: 0,
             unsent: BTreeSet::new(),
             requests: BTreeMap::new(),
-            chains: Chains::default(),
+            chains: Chains::new(chains),
             random,
             resident: None,
             end: None,
@@ -313,8 +324,13 @@
         let draw = inner.random.fraction();
         let returns = self.returns.lock().unwrap_or_else(PoisonError::into_inner);
         let urgent = |service: &ServiceName| returns.urgent_part(now, service, terms.priority);
+        let start = Start {
+            route: terms.route,
+            priority: terms.priority,
+            is_late: inner.queue.usual_of(terms.route) > terms.target,
+        };
         let chains = &mut inner.chains;
-        match chains.admit(now, terms.route, terms.priority, urgent, draw) {
+        match chains.admit(now, start, urgent, draw) {
             true => Ok(()),
             false => Err(Rejection::Starved(chains.room(now, terms.priority))),
         }
@@ -453,6 +469,9 @@
         for place in wakeups.expired {
             self.answer(place, Err(Rejection::Expired));
         }
+        for place in wakeups.yielded {
+            self.answer(place, Err(Rejection::Busy(self.queue.expected_room())));
+        }
     }
 
     fn answer(&mut self, place: Place, answer: Result<()>) {
--- a/crates/proxy/src/ingress.rs
+++ b/crates/proxy/src/ingress.rs
@@ -286,6 +286,10 @@
             "stopping",
         );
     }
+    let age = match (received.parent, received.tags.left) {
+        (None, Some(left)) => shared.age_of(hash_key(route.name.as_bytes()), left),
+        _ => Millis::ZERO,
+    };
     let progress = Progress::default();
     let fingerprint = compute_fingerprint(shared, &received);
     let request = received.tags.request.clone();
@@ -297,6 +301,7 @@
         request: &request,
         fingerprint,
         start,
+        age,
         deadline,
         parent: received.parent,
         payload: make_payload(shared, received),
@@ -313,6 +318,8 @@
     };
     match shared.dialect.parent_of(&request) {
         Some(parent) => shared.gate.observe_call(parent, service, call_end),
+        // What came too late to be in time tells nothing of those that could be.
+        None if age >= route.target => {}
         None => shared.observe_end(service, route.priority, call_end),
     }
     match end {
--- a/crates/proxy/src/pursue.rs
+++ b/crates/proxy/src/pursue.rs
@@ -50,6 +50,8 @@
     pub fingerprint: u64,
     /// Time at which it came.
     pub start: Millis,
+    /// Time since its caller asked for the first time.
+    pub age: Millis,
     /// Time by which it must have its final answer.
     pub deadline: Millis,
     /// What it inherits where a request that runs at the backend server beside this proxy makes it.
@@ -197,7 +199,7 @@
     /// Returns the time by which an answer is worth most.
     fn target(&self) -> Millis {
         let parent = self.parent.map(|p| p.target);
-        parent.unwrap_or(self.start + self.route.target)
+        parent.unwrap_or(self.start + self.route.target.since(self.age))
     }
 
     /// Returns its rank; 0 goes first.
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -11,7 +11,8 @@
 use async_channel::Sender;
 use rf_base::{AttemptId, Clock, Incarnation, InstanceId, Millis, SeededRandom, ServiceName};
 use rf_config::ProxySettings;
-use rf_traffic::{Link, PauseTimes, Placement, RetryBudget, Returns, Shares, StrikeBook};
+use rf_traffic::placement::PlacementSettings;
+use rf_traffic::{Ages, Link, PauseTimes, Placement, RetryBudget, Returns, Shares, StrikeBook};
 use rf_transport::h1::{Pool, PoolSettings};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -71,6 +72,7 @@
     shares: Mutex<Shares>,
     budgets: Mutex<BTreeMap<ServiceName, RetryBudget>>,
     returns: Arc<Mutex<Returns>>,
+    ages: Mutex<Ages>,
     trials: Mutex<crate::trials::TrialBook>,
     sizes: Mutex<BTreeMap<String, f64>>,
     random: Mutex<SeededRandom>,
@@ -92,13 +94,24 @@
     ) -> Shared<D> {
         let me = InstanceId::of(&settings.instance);
         let link = Link::new(settings.limits.link);
-        let returns: Arc<Mutex<Returns>> = Arc::default();
+        let mechanisms = settings.policy.mechanisms;
+        let returns = match mechanisms.returns {
+            true => Returns::default(),
+            false => Returns::plain(),
+        };
+        let returns = Arc::new(Mutex::new(returns));
+        let placement = PlacementSettings {
+            near_first: mechanisms.near_first,
+            fading: mechanisms.fading,
+            noise: mechanisms.noise,
+            route_time: mechanisms.route_time,
+        };
         let mut fork = || SeededRandom::new(random.bits());
         Shared {
             dialect,
             me,
             life,
-            gate: Gate::new(clock.clone(), me, life, fork(), returns.clone()),
+            gate: Gate::new(clock.clone(), me, life, fork(), returns.clone(), mechanisms),
             view: ArcSwap::default(),
             strikes: ArcSwap::default(),
             relays: Pool::new(PoolSettings {
@@ -117,10 +130,11 @@
             outlet: Outlet::new(link.clone(), clock.clone()),
             link,
             held: HeldBytes::new(settings.limits.held_bytes()),
-            placement: Mutex::new(Placement::new(fork())),
+            placement: Mutex::new(Placement::with_settings(fork(), placement)),
             shares: Mutex::new(Shares::new(fork())),
             budgets: Mutex::default(),
             returns,
+            ages: Mutex::default(),
             trials: Mutex::default(),
             sizes: Mutex::default(),
             random: Mutex::new(fork()),
@@ -194,6 +208,15 @@
         lock(&self.random).jitter(limit)
     }
 
+    /// Returns the time since the caller of a request of `route`, which waits for `left`, asked for
+    /// the first time; zero where that is not known.
+    pub fn age_of(&self, route: u64, left: Millis) -> Millis {
+        match self.settings.load().policy.mechanisms.caller_age {
+            true => lock(&self.ages).observe(self.now(), route, left),
+            false => Millis::ZERO,
+        }
+    }
+
     /// Takes in how a caller's request ended, as far as the load of its service goes.
     pub fn observe_end(&self, service: &ServiceName, priority: u8, end: CallEnd) {
         let is_served = match end {
--- a/crates/proxy/tests/gate.rs
+++ b/crates/proxy/tests/gate.rs
@@ -1,7 +1,7 @@
 //! The gate before a backend server, as bodies on their way see it.
 
 use rf_base::{AttemptId, Clock, Counter, Incarnation, InstanceId, Millis, SeededRandom};
-use rf_config::Repeat;
+use rf_config::{Mechanisms, Repeat};
 use rf_protocol::relay::{
     AttemptEnd, AttemptKey, AttemptOrder, AttemptTerms, LedgerAnswer, Payload, Rejection,
     ServerAnswer,
@@ -16,7 +16,15 @@
 /// Makes the gate of a backend server with two slots.
 fn open_gate() -> Gate {
     let random = SeededRandom::new(1);
-    let gate = Gate::new(Clock::system(), ME, LIFE, random, Arc::default());
+    let mechanisms = Mechanisms::default();
+    let gate = Gate::new(
+        Clock::system(),
+        ME,
+        LIFE,
+        random,
+        Arc::default(),
+        mechanisms,
+    );
     gate.open(&Resident {
         id: "i-1".to_owned(),
         address: ([127, 0, 0, 1], 9).into(),
--- a/crates/traffic/src/admission.rs
+++ b/crates/traffic/src/admission.rs
@@ -15,6 +15,9 @@
 //! - Short calls beside long requests: each route has its usual time, so what waits behind short
 //!   runs is not refused for the time of long ones, and a shift of the mixture changes no estimate.
 //! - Requests that no server had room for in time: they are spare, and take only what others leave.
+//! - Requests that can't be in time any more beside others that can: while the latter are refused,
+//!   the former are refused at once, since a slot that they hold is one that an answer in time lacks;
+//!   as soon as none has been refused for the time of a run, late ones run in what is left.
 //!
 //! Invariants: `running` exceeds `slots` only after the slots were reduced, and no request waits
 //! while a slot is free.
@@ -68,6 +71,8 @@
     pub granted: Vec<Place>,
     /// Their time passed.
     pub expired: Vec<Place>,
+    /// They can't be in time, and others that can be were refused.
+    pub yielded: Vec<Place>,
 }
 
 /// Order among waiting requests; the least goes first.
@@ -89,11 +94,37 @@
     usual: Option<f64>,
     /// Usual time of the runs of each route, with the time of the last.
     routes: BTreeMap<u64, (f64, Millis)>,
+    /// Time of the last refusal of a request that could have been in time.
+    pressed_at: Option<Millis>,
+    settings: QueueSettings,
+}
+
+/// Settings of a [`Queue`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QueueSettings {
+    /// Whether late requests take only slots that would stay idle.
+    pub idle_late: bool,
+    /// Whether the usual time of a run is known by route.
+    pub route_time: bool,
+}
+
+impl Default for QueueSettings {
+    fn default() -> Self {
+        QueueSettings {
+            idle_late: true,
+            route_time: true,
+        }
+    }
 }
 
 impl Queue {
     /// Makes an empty queue before `slots` slots.
     pub fn new(slots: u32) -> Queue {
+        Queue::with_settings(slots, QueueSettings::default())
+    }
+
+    /// Makes an empty queue before `slots` slots.
+    pub fn with_settings(slots: u32, settings: QueueSettings) -> Queue {
         Queue {
             slots,
             running: 0,
@@ -101,6 +132,8 @@
             next: 0,
             usual: None,
             routes: BTreeMap::new(),
+            pressed_at: None,
+            settings,
         }
     }
 
@@ -112,13 +145,16 @@
 
     /// Asks for a slot, waiting up to `patience` for it.
     pub fn enter(&mut self, now: Millis, wish: Wish, patience: Millis) -> Entry {
+        if !self.has_room(now, &wish, patience, 0) {
+            if !self.is_late(now, &wish) {
+                self.pressed_at = Some(now);
+            }
+            return Entry::Refuse(self.expected_room());
+        }
         if self.running < self.slots {
             self.running += 1;
             return Entry::Run;
         }
-        if !self.has_room(now, &wish, patience, 0) {
-            return Entry::Refuse(self.expected_room());
-        }
         self.next += 1;
         let place = Place(self.next);
         self.waiting.insert(place, wish);
@@ -128,6 +164,9 @@
     /// Returns whether a request would get a slot, now or within `patience`, after `coming` others
     /// that are not here yet.
     pub fn has_room(&self, now: Millis, wish: &Wish, patience: Millis, coming: u32) -> bool {
+        if self.yields(now, wish) {
+            return false;
+        }
         if self.running + coming < self.slots {
             return true;
         }
@@ -200,6 +239,7 @@
 
     fn expected_run_of(&self, route: u64) -> f64 {
         let known = self.routes.get(&route).map(|(usual, _)| *usual);
+        let known = known.filter(|_| self.settings.route_time);
         known.unwrap_or_else(|| self.expected_run())
     }
 
@@ -227,9 +267,24 @@
         work / slots + f64::from(excess + 1) * self.release_interval()
     }
 
+    /// Returns whether a run that began now would end after its target.
+    fn is_late(&self, now: Millis, wish: &Wish) -> bool {
+        now + self.usual_of(wish.route) > wish.target
+    }
+
+    /// Returns whether a request leaves the slots to others that can still be in time.
+    ///
+    /// One of those was refused less than a run of this request ago, so more of them are expected
+    /// before the slot would be free again. Calls never yield: their run holds a slot already.
+    fn yields(&self, now: Millis, wish: &Wish) -> bool {
+        let span = self.usual_of(wish.route);
+        let is_pressed = self.pressed_at.is_some_and(|at| now.since(at) < span);
+        self.settings.idle_late && is_pressed && !wish.is_nested && self.is_late(now, wish)
+    }
+
     /// Order among waiting requests; the least goes first.
     fn rank(&self, now: Millis, wish: &Wish) -> Rank {
-        let is_late = now + self.usual_of(wish.route) > wish.target;
+        let is_late = self.is_late(now, wish);
         Rank {
             is_new: !wish.is_nested,
             is_last: !wish.is_nested && (is_late || wish.is_spare),
@@ -242,6 +297,11 @@
         let mut wakeups = Wakeups::default();
         let expired = self.waiting.extract_if(.., |_, w| w.expires <= now);
         wakeups.expired.extend(expired.map(|(place, _)| place));
+        let yielding = self.waiting.iter().filter(|(_, w)| self.yields(now, w));
+        wakeups.yielded.extend(yielding.map(|(place, _)| *place));
+        for place in &wakeups.yielded {
+            self.waiting.remove(place);
+        }
         while self.running < self.slots {
             let first = self
                 .waiting
--- /dev/null
+++ b/crates/traffic/src/age.rs
@@ -0,0 +1,97 @@
+//! How long ago the caller of a request asked for the first time.
+//!
+//! A caller that was refused comes back with what is left of its time, and its answer is worth most
+//! within the target counted from its first try. A proxy sees only the new request. But the callers
+//! of a route give about the same time at their first try; what a request lacks of the longest that
+//! is seen, beyond what callers differ by, has passed already. So the age is a lower bound.
+//!
+//! Where few requests come with about the longest time, callers differ more, and nothing is
+//! concluded.
+//!
+//! Load pattern this answers: lasting overload in which refused callers come back. Without their age
+//! each of them looks like a fresh request that can still be in time.
+
+use rf_base::Millis;
+use std::collections::BTreeMap;
+
+/// Part of the longest time from which a request counts as a first try: callers are not equally
+/// patient.
+const FIRST_PART: f64 = 0.85;
+/// First tries, as a divisor of all requests, from which the longest time is believed.
+const USUAL_PART: u32 = 4;
+/// Requests below which nothing is concluded.
+const FEW_REQUESTS: u32 = 8;
+/// Requests after which older ones count half.
+const MANY_REQUESTS: u32 = 256;
+/// Routes that are kept; the one that was asked for least lately is forgotten.
+const MAX_ROUTES: usize = 256;
+
+/// Times that the requests of one route came with.
+#[derive(Clone, Copy, Debug, Default)]
+struct Times {
+    longest: Millis,
+    /// Requests that came with about that time.
+    first: u32,
+    total: u32,
+    used: Millis,
+}
+
+impl Times {
+    fn observe(&mut self, now: Millis, left: Millis) {
+        let is_rare = self.total >= MANY_REQUESTS && self.first == 0;
+        if is_rare {
+            *self = Times::default();
+        }
+        if self.total >= MANY_REQUESTS {
+            self.first /= 2;
+            self.total /= 2;
+        }
+        if left.0 as f64 * FIRST_PART > self.longest.0 as f64 {
+            // What came before was no first try.
+            self.first = 0;
+        }
+        self.longest = self.longest.max(left);
+        self.used = now;
+        self.total += 1;
+        self.first += u32::from(left >= self.least());
+    }
+
+    /// Returns the least time that a first try comes with.
+    fn least(&self) -> Millis {
+        Millis((self.longest.0 as f64 * FIRST_PART) as u64)
+    }
+
+    fn age(&self, left: Millis) -> Millis {
+        let is_known = self.total >= FEW_REQUESTS && self.first >= self.total / USUAL_PART;
+        match is_known {
+            true => self.least().since(left),
+            false => Millis::ZERO,
+        }
+    }
+}
+
+/// Ages of the requests of each route.
+#[derive(Clone, Debug, Default)]
+pub struct Ages {
+    routes: BTreeMap<u64, Times>,
+}
+
+impl Ages {
+    /// Takes in a request of `route` whose caller waits for `left`; returns the time since its first
+    /// try, zero where that is not known.
+    pub fn observe(&mut self, now: Millis, route: u64, left: Millis) -> Millis {
+        if !self.routes.contains_key(&route) && self.routes.len() >= MAX_ROUTES {
+            self.forget_oldest();
+        }
+        let times = self.routes.entry(route).or_default();
+        times.observe(now, left);
+        times.age(left)
+    }
+
+    fn forget_oldest(&mut self) {
+        let oldest = self.routes.iter().min_by_key(|(_, t)| t.used);
+        if let Some(route) = oldest.map(|(route, _)| *route) {
+            self.routes.remove(&route);
+        }
+    }
+}
--- a/crates/traffic/src/chain.rs
+++ b/crates/traffic/src/chain.rs
@@ -16,6 +16,8 @@
 //! - Requests of different rank depend on one service, which can't serve all: the runs of the less
 //!   urgent rank are begun less often than the requests of the more urgent one are served, and no
 //!   less than a quarter of the time because of them.
+//! - Requests that can't be in time any more: they are begun only while the services that their runs
+//!   call serve nearly all, and they count neither as wanted nor as withheld.
 //! - The end of a burst: the part grows by itself once no call is refused, within two seconds.
 
 use crate::acceptance::Acceptance;
@@ -24,6 +26,8 @@
 
 /// Runs held back for each request of a more urgent rank that is not served.
 const LEAD: f64 = 1.2;
+/// Part of the calls of a service that is served at least where late runs that call it are begun.
+const LATE_PART: f64 = 0.9;
 /// Part that is begun at least, however many of a more urgent rank are not served.
 const FAIR_PART: f64 = 0.25;
 /// Part that is begun at least, whatever is refused: it finds out when room is back.
@@ -60,9 +64,39 @@
     }
 }
 
+/// A run that may be begun.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Start {
+    /// Route, by the fingerprint of its name.
+    pub route: u64,
+    /// Rank; 0 goes first.
+    pub priority: u8,
+    /// Whether it can't end by its target.
+    pub is_late: bool,
+}
+
+/// Settings of [`Chains`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ChainSettings {
+    /// Whether runs are held back at all.
+    pub door: bool,
+    /// Whether they are held back by what more urgent requests get.
+    pub fair_bound: bool,
+}
+
+impl Default for ChainSettings {
+    fn default() -> Self {
+        ChainSettings {
+            door: true,
+            fair_bound: true,
+        }
+    }
+}
+
 /// Calls that the runs of one backend server make.
 #[derive(Clone, Debug, Default)]
 pub struct Chains {
+    settings: ChainSettings,
     routes: BTreeMap<u64, Route>,
     /// All routes together.
     all: Route,
@@ -70,29 +104,47 @@
 }
 
 impl Chains {
-    /// Returns whether a run of `route` at rank `priority` is to be begun; `draw` is a random
-    /// number below 1, `urgent` tells which part of the more urgent requests a service serves.
+    /// Makes the state of a backend server none of whose runs is known.
+    pub fn new(settings: ChainSettings) -> Chains {
+        Chains {
+            settings,
+            ..Chains::default()
+        }
+    }
+
+    /// Returns whether a run is to be begun; `draw` is a random number below 1, `urgent` tells which
+    /// part of the more urgent requests a service serves.
     pub fn admit(
         &mut self,
         now: Millis,
-        route: u64,
-        priority: u8,
+        start: Start,
         urgent: impl Fn(&ServiceName) -> f64,
         draw: f64,
     ) -> bool {
-        let known = self.routes.get(&route).filter(|r| r.runs >= FEW_RUNS);
-        let known = known.unwrap_or(&self.all);
+        if !self.settings.door {
+            return true;
+        }
+        let known = self.routes.get(&start.route);
+        let known = known.filter(|r| r.runs >= FEW_RUNS).unwrap_or(&self.all);
         let callees = known.calls.iter().filter(|(_, share)| **share >= MIN_SHARE);
         let callees: Vec<(ServiceName, f64)> = callees.map(|(s, n)| (s.clone(), *n)).collect();
         let fair = |part: f64| (1.0 - LEAD * (1.0 - part)).max(FAIR_PART);
+        let bound = |service: &ServiceName| match self.settings.fair_bound {
+            true => fair(urgent(service)),
+            false => 1.0,
+        };
         let parts = callees
             .iter()
-            .map(|(s, _)| self.part(now, s, priority).min(fair(urgent(s))));
-        if draw < parts.product() {
+            .map(|(s, _)| self.part(now, s, start.priority).min(bound(s)));
+        let part: f64 = parts.product();
+        if start.is_late {
+            return part >= LATE_PART;
+        }
+        if draw < part {
             return true;
         }
         for (service, share) in callees {
-            let calls = self.calls.entry((service, priority)).or_default();
+            let calls = self.calls.entry((service, start.priority)).or_default();
             calls.withhold(now, share);
         }
         false
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod acceptance;
 pub mod admission;
+pub mod age;
 pub mod balancer;
 pub mod chain;
 pub mod error;
@@ -23,8 +24,9 @@
 pub mod table;
 
 pub use acceptance::Acceptance;
+pub use age::Ages;
 pub use balancer::{Balancer, BalancerSettings, Outcome};
-pub use chain::Chains;
+pub use chain::{ChainSettings, Chains, Start};
 pub use error::{CallError, RefusalReason};
 pub use keys::{Claim, KeySettings, KeyTable, Settlement};
 pub use ledger::{Begin, Knowledge, Ledger, LedgerSettings, Weigh};
--- a/crates/traffic/src/placement.rs
+++ b/crates/traffic/src/placement.rs
@@ -121,12 +121,43 @@
     /// Time of a run of each route, as a factor on the usual time of all runs at the same server.
     routes: BTreeMap<u64, f64>,
     random: SeededRandom,
+    settings: PlacementSettings,
+}
+
+/// Settings of a [`Placement`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlacementSettings {
+    /// Whether near servers are taken while they are safely in time.
+    pub near_first: bool,
+    /// Whether reports of load fade with their age.
+    pub fading: bool,
+    /// Whether scores carry noise.
+    pub noise: bool,
+    /// Whether the time of a run is known by route.
+    pub route_time: bool,
+}
+
+impl Default for PlacementSettings {
+    fn default() -> Self {
+        PlacementSettings {
+            near_first: true,
+            fading: true,
+            noise: true,
+            route_time: true,
+        }
+    }
 }
 
 impl Placement {
     /// Makes a placement that knows nothing yet.
     pub fn new(random: SeededRandom) -> Placement {
+        Placement::with_settings(random, PlacementSettings::default())
+    }
+
+    /// Makes a placement that knows nothing yet.
+    pub fn with_settings(random: SeededRandom, settings: PlacementSettings) -> Placement {
         Placement {
+            settings,
             loads: BTreeMap::new(),
             routes: BTreeMap::new(),
             random,
@@ -157,7 +188,7 @@
         let near = self.best_of(now, near, common, need);
         let is_safe = |(score, _): &(f64, InstanceId)| *score <= need.safe.0 as f64;
         let instance = match near {
-            Some(near) if is_safe(&near) => near.1,
+            Some(near) if self.settings.near_first && is_safe(&near) => near.1,
             near => {
                 let far = self.best_of(now, far, common, need);
                 let far = far.map(|(score, id)| (score + need.distance.0 as f64, id));
@@ -190,7 +221,10 @@
     ) -> Option<(f64, InstanceId)> {
         let mut best: Option<(f64, InstanceId)> = None;
         for candidate in self.sample(candidates) {
-            let noise = 1.0 + NOISE * self.random.fraction();
+            let noise = match self.settings.noise {
+                true => 1.0 + NOISE * self.random.fraction(),
+                false => 1.0,
+            };
             let score = self.score(now, candidate, common, need.route) * noise;
             if best.is_none_or(|(least, _)| score < least) {
                 best = Some((score, candidate.instance));
@@ -223,7 +257,8 @@
     }
 
     fn factor(&self, route: u64) -> f64 {
-        self.routes.get(&route).copied().unwrap_or(1.0)
+        let known = self.routes.get(&route).filter(|_| self.settings.route_time);
+        known.copied().unwrap_or(1.0)
     }
 
     fn learn_factor(&mut self, route: u64, load: &LoadReport) {
@@ -271,7 +306,10 @@
             return 0.0;
         };
         let age = now.since(load.reported_at).0 as f64;
-        let fade = 0.5f64.powf(age / FADE);
+        let fade = match self.settings.fading {
+            true => 0.5f64.powf(age / FADE),
+            false => 1.0,
+        };
         let reported = f64::from(load.report.running + load.report.waiting) * fade;
         let known = reported + f64::from(load.sent_since.min(load.in_flight));
         known.max(f64::from(load.in_flight))
--- a/crates/traffic/src/returns.rs
+++ b/crates/traffic/src/returns.rs
@@ -37,10 +37,20 @@
 /// How many of the requests that this proxy took in were served, by service and rank.
 #[derive(Clone, Debug, Default)]
 pub struct Returns {
+    /// Whether pauses do without what is served.
+    is_plain: bool,
     served: BTreeMap<(ServiceName, u8), Acceptance>,
 }
 
 impl Returns {
+    /// Makes pauses that follow from room alone.
+    pub fn plain() -> Returns {
+        Returns {
+            is_plain: true,
+            ..Returns::default()
+        }
+    }
+
     /// Takes in the end of a request: whether it was refused for lack of room.
     pub fn observe(&mut self, now: Millis, service: &ServiceName, priority: u8, is_served: bool) {
         let key = (service.clone(), priority);
@@ -65,6 +75,7 @@
         random: &mut SeededRandom,
     ) -> Millis {
         let served = self.served.get(&(service.clone(), priority));
+        let served = served.filter(|_| !self.is_plain);
         let part = served.map_or(1.0, |a| a.part(now));
         let willing = times.left.0 as f64 * WILLING;
         let half = Millis((willing * MAX_FACTOR * (1.0 - part) / 2.0) as u64);
--- a/crates/traffic/tests/chain.rs
+++ b/crates/traffic/tests/chain.rs
@@ -1,7 +1,7 @@
 //! Load patterns of runs that call other services, on a virtual clock.
 
 use rf_base::{Millis, SeededRandom, ServiceName};
-use rf_traffic::Chains;
+use rf_traffic::{Chains, Start};
 use std::collections::BTreeMap;
 
 const ROUTE: u64 = 1;
@@ -10,6 +10,15 @@
 /// Calls that the desk holds in its queue before it refuses one.
 const QUEUE: f64 = 20.0;
 
+/// Makes a run that can still be in time.
+fn start(route: u64, priority: u8) -> Start {
+    Start {
+        route,
+        priority,
+        is_late: false,
+    }
+}
+
 fn desk() -> ServiceName {
     ServiceName("desk".to_owned())
 }
@@ -40,7 +49,7 @@
     for step in 0..seconds * 100 {
         let now = Millis(from + step * 10);
         free = f64::min(free + 2.0 * capacity, QUEUE);
-        if !chains.admit(now, ROUTE, priority, |_| 1.0, random.fraction()) {
+        if !chains.admit(now, start(ROUTE, priority), |_| 1.0, random.fraction()) {
             tally.refused += 1;
             continue;
         }
@@ -112,7 +121,7 @@
     play(&mut chains, 0, PLAIN, 0.0, 2);
     let part = chains.part(Millis(2000), &desk(), PLAIN);
     assert!(part < 0.5, "{part}");
-    assert!(!chains.admit(Millis(2000), ROUTE + 1, PLAIN, |_| 1.0, 0.9));
+    assert!(!chains.admit(Millis(2000), start(ROUTE + 1, PLAIN), |_| 1.0, 0.9));
 }
 
 #[test]
@@ -122,7 +131,7 @@
         chains.learn(Millis(0), ROUTE + 1, &BTreeMap::new());
     }
     play(&mut chains, 0, PLAIN, 0.0, 2);
-    assert!(chains.admit(Millis(2000), ROUTE + 1, PLAIN, |_| 0.0, 0.99));
+    assert!(chains.admit(Millis(2000), start(ROUTE + 1, PLAIN), |_| 0.0, 0.99));
 }
 
 #[test]
@@ -131,7 +140,7 @@
     let mut begun = |served: f64| {
         let mut random = SeededRandom::new(5);
         let draws = (0..1000).map(|_| random.fraction());
-        let admit = |draw| chains.admit(Millis(0), ROUTE, PLAIN, |_| served, draw);
+        let admit = |draw| chains.admit(Millis(0), start(ROUTE, PLAIN), |_| served, draw);
         draws.map(admit).filter(|is_begun| *is_begun).count()
     };
     assert_eq!(begun(1.0), 1000);
