Follow a store that comes back from a copy

Cause: the follower of a topic kept the greatest revision it had seen. Once a restored store had given that revision out again, the watch succeeded and the changes between were never seen; a conditional status could meet another object under the same revision; entries written after the copy stayed gone; an order whose final state was lost looked reopened and was tried again.

Change: a revision is an era and a number (rf_config::Revision), ordered by era first. The adapter reads Store-Era; an answer of an older era than one seen is dropped, a watch or conditional write from another era fails, and the topic is read afresh. What proxies know of an order goes before what the store holds: the same order written again goes on, a final state that was lost is recorded again by its owner, and a judged version is not tried again. Tables never go back, as before.

Ruled out: clearing what is known on a new era, which would bring an older table or a judged version back into use.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -19,6 +19,8 @@
 pub use parse::{ParseError, from_json};
 pub use patch::{TableDigest, TablePatch};
 pub use proxy::{Mechanisms, ProxySettings};
-pub use routes::{CallerLimits, Part, PathRoute, Repeat, Rollout, RolloutState, RouteTable};
+pub use routes::{
+    CallerLimits, Part, PathRoute, Repeat, Revision, Rollout, RolloutState, RouteTable,
+};
 pub use settings::Settings;
 pub use verify::{VerifyError, VerifyErrors, verify_mesh, verify_settings};
--- a/crates/config/src/routes.rs
+++ b/crates/config/src/routes.rs
@@ -135,6 +135,28 @@
     }
 }
 
+/// State of the store at one moment.
+///
+/// A store that comes back from a copy has lost the writes since, and gives their numbers out again.
+/// Each time it does so a new era begins, so revisions of all eras have one order.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Revision {
+    /// Times that the store has come back from a copy.
+    pub era: u64,
+    /// Number of the state within its era; rises with each change.
+    pub number: u64,
+}
+
+/// Bits of [`Revision::id`] that hold the number.
+const NUMBER_BITS: u32 = 48;
+
+impl Revision {
+    /// Returns a number that no other revision has, in whichever era.
+    pub fn id(self) -> u64 {
+        self.era << NUMBER_BITS | self.number
+    }
+}
+
 /// State of a version change that an operator ordered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -158,9 +180,9 @@
     pub duration: Millis,
     /// State as recorded in the store.
     pub state: RolloutState,
-    /// Number of the order: the store's revision at which the order was written. It tells a new
-    /// order for the same service from an old one.
+    /// Number of the order: the id of the store's revision at which the order was written. It tells
+    /// a new order for the same service from an old one.
     pub order: u64,
     /// Store revision of the record, which a conditional write of the state names.
-    pub revision: u64,
+    pub revision: Revision,
 }
--- a/crates/protocol/src/relay.rs
+++ b/crates/protocol/src/relay.rs
@@ -279,6 +279,9 @@
     pub absolved: Vec<Strike>,
     /// Time since the store is known to have answered one of those who follow it.
     pub store_age: Millis,
+    /// Newest era of the store that the sender knows.
+    #[serde(default)]
+    pub store_era: u64,
 }
 
 /// Message from one daemon to another.
--- a/crates/proxy/src/control/driver.rs
+++ b/crates/proxy/src/control/driver.rs
@@ -15,6 +15,7 @@
 use rf_membership::Target;
 use rf_protocol::relay::{RelayRequest, Trial};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Instant;
 use tracing::{debug, info, warn};
@@ -115,6 +116,7 @@
             }
             Action::Follow(topic, is_mine) => self.shared.duties.set(topic, is_mine),
             Action::Strikes(book) => self.shared.strikes.store(Arc::new(*book)),
+            Action::Restored(era) => self.shared.store_era.store(era, Ordering::Relaxed),
             Action::Record(rollout, state) => self.record(*rollout, state),
             Action::Readmit(instance) => self.shared.placement().readmit(instance),
         }
@@ -161,7 +163,7 @@
         let shared = self.shared.clone();
         task::spawn(async move {
             let service = &rollout.service;
-            let revision = rollout.revision;
+            let revision = rollout.revision.number;
             let result = source.record(&rollout, state).await;
             let label = match &result {
                 Ok(()) => "done",
@@ -171,7 +173,9 @@
             let calls = &shared.metrics.store_calls;
             calls.with_label_values(&["record", label]).inc();
             match result {
-                Ok(()) => info!(event = "rollout.recorded", %service, ?state, revision),
+                Ok(()) => {
+                    info!(event = "rollout.recorded", %service, ?state, revision)
+                }
                 Err(error) => {
                     warn!(event = "rollout.unrecorded", %service, ?state, revision, %error);
                 }
--- a/crates/proxy/src/control/event.rs
+++ b/crates/proxy/src/control/event.rs
@@ -24,8 +24,8 @@
     Told(Box<Member>),
     /// Another proxy tells what it observed of a version change.
     Observed(Box<Trial>),
-    /// The store answered this proxy.
-    StoreAnswered,
+    /// The store answered this proxy, in this era.
+    StoreAnswered(u64),
     /// A message was answered, or not.
     Replied(Target, Kind, Option<RelayReply>),
     /// The backend server beside this proxy came, changed or left.
@@ -72,6 +72,8 @@
     Readmit(InstanceId),
     /// Follow the store, or leave that to others.
     Follow(Topic, bool),
+    /// The store came back from a copy; it is in this era now.
+    Restored(u64),
     /// A newer route table is in force.
     Adopted(std::sync::Arc<RouteTable>),
 }
--- a/crates/proxy/src/control/machine.rs
+++ b/crates/proxy/src/control/machine.rs
@@ -88,6 +88,7 @@
     sent_trials: BTreeMap<u64, u64>,
     next_observe: Millis,
     store_seen: Millis,
+    store_era: u64,
     duties: BTreeSet<Topic>,
     fetch: TableFetch,
     started: Millis,
@@ -127,6 +128,7 @@
             sent_trials: BTreeMap::new(),
             next_observe: Millis::ZERO,
             store_seen: Millis::ZERO,
+            store_era: 0,
             duties: BTreeSet::new(),
             fetch: TableFetch::default(),
             started: settings.started,
@@ -160,7 +162,10 @@
                 self.answer_exchange(now, &exchange, &news, sender, &mut actions);
             }
             Event::Observed(trial) => self.orders.observe(&trial),
-            Event::StoreAnswered => self.store_seen = now,
+            Event::StoreAnswered(era) => {
+                self.store_seen = now;
+                self.take_era(now, era, &mut actions);
+            }
             Event::Told(member) => self.membership.handle_description(now, &member),
             Event::Replied(target, kind, reply) => {
                 self.handle_reply(now, target, kind, reply, &mut actions);
@@ -183,8 +188,9 @@
             self.orders.observe(trial);
         }
         let me = self.id();
-        let running = self.orders.running();
-        let owned: Vec<u64> = running
+        let mut orders = self.orders.running();
+        orders.extend(self.orders.unrecorded());
+        let owned: Vec<u64> = orders
             .into_iter()
             .filter(|order| self.rank(*order, 1).contains(&me))
             .collect();
@@ -287,7 +293,19 @@
             strikes: strip(strikes),
             absolved: strip(absolved),
             store_age: now.since(self.store_seen),
+            store_era: self.store_era,
+        }
+    }
+
+    /// Takes in that the store is in `era`; what it has lost is written again by those it concerns.
+    fn take_era(&mut self, now: Millis, era: u64, actions: &mut Vec<Action>) {
+        if era <= self.store_era {
+            return;
         }
+        warn!(event = "store.restored", era, before = self.store_era);
+        self.store_era = era;
+        self.membership.kick(now);
+        actions.push(Action::Restored(era));
     }
 
     fn answer_exchange(
@@ -348,6 +366,7 @@
         }
         let seen = Millis(now.0.saturating_sub(news.store_age.0));
         self.store_seen = self.store_seen.max(seen);
+        self.take_era(now, news.store_era, actions);
         if changed {
             self.membership.kick(now);
         }
--- a/crates/proxy/src/control/orders.rs
+++ b/crates/proxy/src/control/orders.rs
@@ -1,5 +1,9 @@
 //! Version changes as this proxy knows them.
 //!
+//! Where the store came back from a copy, what proxies know goes before what it holds: an order that
+//! stands there again, for the same version, is the one that was known, and a final state that the
+//! store has lost is recorded again.
+//!
 //! An order is known by the store's revision at its creation. What proxies tell each other about it
 //! only grows: its age, whether it was stopped, whether it was promoted, and a final state. So news
 //! merge in any order, and one proxy that finds a version bad stops it everywhere.
@@ -17,6 +21,8 @@
 #[derive(Clone, Debug)]
 struct Order {
     rollout: Rollout,
+    /// State that the store held when it was last read.
+    recorded: RolloutState,
     first_seen: Millis,
     is_stopped: bool,
     promoted: Option<Millis>,
@@ -71,7 +77,7 @@
         let Some(order) = self.orders.get_mut(&news.rollout.service) else {
             return changed;
         };
-        if order.rollout.order != news.rollout.order {
+        if !is_same(&order.rollout, &news.rollout) {
             return changed;
         }
         if news.is_stopped && !order.is_stopped {
@@ -105,6 +111,7 @@
             } else {
                 rollout.state
             };
+            order.recorded = rollout.state;
             order.rollout = Rollout {
                 state,
                 ..rollout.clone()
@@ -124,11 +131,13 @@
             service = %rollout.service,
             version = %rollout.version,
             order = rollout.order,
-            revision = rollout.revision,
+            revision = rollout.revision.number,
+            era = rollout.revision.era,
             state = ?rollout.state,
         );
         let order = Order {
             rollout: rollout.clone(),
+            recorded: rollout.state,
             first_seen: seen,
             is_stopped: false,
             promoted: None,
@@ -163,6 +172,12 @@
         running.map(|o| o.rollout.order).collect()
     }
 
+    /// Returns the numbers of the orders whose state the store does not hold.
+    pub fn unrecorded(&self) -> Vec<u64> {
+        let lost = self.orders.values().filter(|o| o.is_record_lost());
+        lost.map(|o| o.rollout.order).collect()
+    }
+
     /// Returns what to tell other proxies.
     pub fn news(&self, now: Millis) -> Vec<OrderNews> {
         let news = |o: &Order| OrderNews {
@@ -218,6 +233,12 @@
                 }
             }
         }
+        for order in self.orders.values_mut().filter(|o| o.is_record_lost()) {
+            if is_owner(order.rollout.order) && now >= order.next_record {
+                order.next_record = now + RECORD_PAUSE;
+                records.push((order.rollout.clone(), order.rollout.state));
+            }
+        }
         let running: BTreeSet<u64> = self.running().into_iter().collect();
         self.trials.retain(|(order, _), _| running.contains(order));
         self.revision += u64::from(changed);
@@ -228,13 +249,17 @@
 /// Whether two readings are of one order: the same object asking for the same version, where no
 /// final state has been reached and left.
 fn is_same(known: &Rollout, read: &Rollout) -> bool {
+    if known.version != read.version || known.duration != read.duration {
+        return false;
+    }
+    if known.revision.era != read.revision.era {
+        // The operator has written the order again, or the copy held it without its state.
+        return true;
+    }
     let is_reopened = known.state != RolloutState::Running
         && read.state == RolloutState::Running
         && read.revision > known.revision;
-    known.order == read.order
-        && known.version == read.version
-        && known.duration == read.duration
-        && !is_reopened
+    known.order == read.order && !is_reopened
 }
 
 impl Order {
@@ -242,6 +267,11 @@
         self.rollout.state == RolloutState::Running
     }
 
+    /// Returns whether the store has lost the final state.
+    fn is_record_lost(&self) -> bool {
+        !self.is_running() && self.recorded == RolloutState::Running
+    }
+
     fn stop_if_bad(&mut self, opinion: TrialOpinion, cells: &[TrialCell]) -> bool {
         if !opinion.is_bad() || self.is_stopped {
             return false;
--- a/crates/proxy/src/control/sync.rs
+++ b/crates/proxy/src/control/sync.rs
@@ -2,7 +2,7 @@
 //!
 //! One task for each topic reads it whole, then waits for changes; where the history is gone, or
 //! the store was away, it reads again. Another task writes this proxy's entry and reads those of
-//! the others.
+//! the others. A store that came back from a copy is read afresh, and the entry is written again.
 
 use super::event::Event;
 use crate::shared::Shared;
@@ -28,6 +28,8 @@
 const MAX_PAUSE: Millis = Millis(1200);
 /// Pause before the entries are read again while few proxies are known.
 const ENTRIES_PAUSE: Millis = Millis(1500);
+/// Time over which proxies write their entries again after the store came back from a copy.
+const REWRITE_SPREAD: Millis = Millis(1000);
 /// Entries read at the start below which they are read once more.
 const FEW_ENTRIES: usize = 8;
 
@@ -181,13 +183,14 @@
         let label = match result {
             Ok(_) => "done",
             Err(SourceError::HistoryGone) => "history-gone",
+            Err(SourceError::Restored) => "restored",
             Err(_) => "failed",
         };
         let calls = &self.shared.metrics.store_calls;
         calls.with_label_values(&[kind, label]).inc();
         self.health.observe(result);
         if result.is_ok() {
-            self.shared.tell(Event::StoreAnswered);
+            self.shared.tell(Event::StoreAnswered(self.source.era()));
         }
     }
 
@@ -197,16 +200,13 @@
         // Proxies that start together read before the others have written.
         let mut is_sparse = known.len() < FEW_ENTRIES;
         self.events.send(Event::Entries(known)).await.ok();
-        let mut backoff = Backoff::new();
+        let mut era = self.register(entry, is_recorded).await;
         loop {
-            let registered = self.source.register(entry, is_recorded).await;
-            self.count("register", &registered);
-            match registered {
-                Ok(()) => break,
-                Err(_) => backoff.wait(&self.shared).await,
+            if self.shared.store_era.load(Ordering::Relaxed) > era {
+                task::sleep(self.shared.jitter(REWRITE_SPREAD).duration()).await;
+                era = self.register(entry, true).await;
+                info!(event = "entry.rewritten", era);
             }
-        }
-        loop {
             let is_alone = self.shared.view.load().proxies <= 1;
             if is_sparse || is_alone {
                 let entries = self.source.entries().await;
@@ -219,4 +219,17 @@
             task::sleep(ENTRIES_PAUSE.duration()).await;
         }
     }
+
+    /// Writes this proxy's entry until the store has it; returns the era of the store.
+    async fn register(&self, entry: &ProxyEntry, is_recorded: bool) -> u64 {
+        let mut backoff = Backoff::new();
+        loop {
+            let registered = self.source.register(entry, is_recorded).await;
+            self.count("register", &registered);
+            match registered {
+                Ok(()) => return self.source.era(),
+                Err(_) => backoff.wait(&self.shared).await,
+            }
+        }
+    }
 }
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -66,6 +66,8 @@
     pub outlet: Outlet,
     /// Turns of long bodies on it.
     pub inlet: Inlet,
+    /// Newest era of the store that this proxy knows.
+    pub store_era: AtomicU64,
     /// Bytes of requests and answers that are held.
     pub held: HeldBytes,
     placement: Mutex<Placement>,
@@ -129,6 +131,7 @@
             inlet: Inlet::new(settings.limits.link),
             outlet: Outlet::new(link.clone(), clock.clone()),
             link,
+            store_era: AtomicU64::new(0),
             held: HeldBytes::new(settings.limits.held_bytes()),
             placement: Mutex::new(Placement::with_settings(fork(), placement)),
             shares: Mutex::new(Shares::new(fork())),
--- a/crates/proxy/src/source.rs
+++ b/crates/proxy/src/source.rs
@@ -1,16 +1,13 @@
 //! Where configuration, orders and the addresses of other proxies come from.
 
 use rf_base::{Incarnation, InstanceId, Millis, ZoneName};
+pub use rf_config::Revision;
 use rf_config::{Rollout, RolloutState, RouteTable};
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use std::future::Future;
 use std::net::SocketAddr;
 
-/// State of the store at one moment; rises with each change.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Revision(pub u64);
-
 /// Error of one call.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 pub enum SourceError {
@@ -41,6 +38,9 @@
     /// The changes since the revision are not kept any more.
     #[snafu(display("history since the revision is gone"))]
     HistoryGone,
+    /// The answer is of another era than the call; a write may have been lost with its era.
+    #[snafu(display("store came back from a copy meanwhile"))]
+    Restored,
 }
 
 /// Result of one call.
@@ -102,6 +102,9 @@
     /// Removes the entry of a proxy that is gone.
     fn unregister(&self, instance: InstanceId) -> impl Future<Output = Result<()>> + Send;
 
+    /// Returns the newest era of the store that was seen.
+    fn era(&self) -> u64;
+
     /// Reads the entries of all proxies.
     fn entries(&self) -> impl Future<Output = Result<Vec<ProxyEntry>>> + Send;
 
--- a/crates/proxy/tests/control.rs
+++ b/crates/proxy/tests/control.rs
@@ -1,7 +1,7 @@
 //! The control machine on a virtual clock: tables, orders, and who follows the store.
 
 use rf_base::{Counter, Incarnation, InstanceId, Millis, SeededRandom, ServiceName};
-use rf_config::{Rollout, RolloutState, RouteTable};
+use rf_config::{Revision, Rollout, RolloutState, RouteTable};
 use rf_membership::Target;
 use rf_protocol::relay::{News, OrderNews, RelayReply};
 use rf_protocol::{Exchange, ExchangeReply, Member, Strike};
@@ -88,7 +88,10 @@
         duration: Millis(12_000),
         state,
         order,
-        revision,
+        revision: Revision {
+            era: 0,
+            number: revision,
+        },
     }
 }
 
@@ -267,7 +270,7 @@
 fn a_proxy_that_stays_behind_reads_the_store_itself() {
     let mut control = control();
     control.handle(at(0), stored(5));
-    control.handle(at(0), Event::StoreAnswered);
+    control.handle(at(0), Event::StoreAnswered(0));
     let mut duties = Vec::new();
     for other in 2..40 {
         control.handle(at(5), Event::Told(Box::new(member(other))));
@@ -298,7 +301,7 @@
     for name in &names {
         let mut control = control_of(name);
         control.handle(at(0), stored(5));
-        control.handle(at(0), Event::StoreAnswered);
+        control.handle(at(0), Event::StoreAnswered(0));
         for other in others(name) {
             control.handle(at(0), Event::Told(Box::new(other)));
         }
@@ -324,3 +327,73 @@
     assert_eq!(followers_after(8000), 20);
     assert_eq!(followers_after(11_000), 40);
 }
+
+/// Makes the order of [`rollout`] as a store of another era holds it.
+fn rollout_of(era: u64, order: u64, number: u64, state: RolloutState) -> Rollout {
+    Rollout {
+        revision: Revision { era, number },
+        ..rollout(order, 0, state)
+    }
+}
+
+#[test]
+fn a_final_state_that_a_restored_store_has_lost_is_recorded_again() {
+    let mut orders = Orders::default();
+    orders.store(at(0), &rollout_of(0, 3, 9, RolloutState::RolledBack));
+    assert!(orders.unrecorded().is_empty());
+    let lost = rollout_of(1, 3, 5, RolloutState::Running);
+    orders.store(at(10), &lost);
+    let service = lost.service.clone();
+    assert_eq!(
+        orders.rule(&service),
+        VersionRule::Except(lost.version.clone()),
+        "a judged version is not tried again"
+    );
+    assert_eq!(orders.unrecorded(), [3]);
+    let (_, records) = orders.advance(at(20), |_| true);
+    assert_eq!(records.len(), 1);
+    assert_eq!(records[0].0.revision, Revision { era: 1, number: 5 });
+    assert_eq!(records[0].1, RolloutState::RolledBack);
+    orders.store(at(30), &rollout_of(1, 3, 6, RolloutState::RolledBack));
+    assert!(orders.unrecorded().is_empty());
+}
+
+#[test]
+fn an_order_that_the_operator_writes_again_after_a_restore_goes_on() {
+    let mut orders = Orders::default();
+    let first = rollout_of(0, 20, 20, RolloutState::Running);
+    orders.store(at(0), &first);
+    let rule = orders.rule(&first.service);
+    let mut again = rollout_of(1, 7, 7, RolloutState::Running);
+    orders.store(at(4000), &again);
+    let VersionRule::Try { since, .. } = orders.rule(&first.service) else {
+        panic!("the order runs");
+    };
+    assert!(matches!(rule, VersionRule::Try { since: s, .. } if s == since));
+    // A late reading of the old era changes nothing.
+    assert!(!orders.store(at(4100), &first));
+    // Another order for the same service in the same era is a new one.
+    again.order = 9;
+    again.revision.number = 9;
+    orders.store(at(5000), &again);
+    assert!(matches!(
+        orders.rule(&first.service),
+        VersionRule::Try { since, .. } if since == at(5000)
+    ));
+}
+
+#[test]
+fn the_era_of_the_store_spreads_and_is_told_once() {
+    let mut control = control();
+    let told = |actions: Vec<Action>| {
+        let restored = actions.into_iter().filter_map(|action| match action {
+            Action::Restored(era) => Some(era),
+            _ => None,
+        });
+        restored.collect::<Vec<_>>()
+    };
+    assert!(told(control.handle(at(0), Event::StoreAnswered(0))).is_empty());
+    assert_eq!(told(control.handle(at(1), Event::StoreAnswered(2))), [2]);
+    assert!(told(control.handle(at(2), Event::StoreAnswered(1))).is_empty());
+    assert!(told(control.handle(at(3), Event::StoreAnswered(2))).is_empty());
+}
--- a/crates/standin/src/users/store.rs
+++ b/crates/standin/src/users/store.rs
@@ -46,8 +46,17 @@
     is_deleted: bool,
 }
 
+/// What a store held at one moment.
+#[derive(Clone, Debug)]
+pub struct StoreCopy {
+    revision: u64,
+    objects: BTreeMap<(String, String), Stored>,
+}
+
 #[derive(Debug, Default)]
 struct State {
+    /// Times that the store has come back from a copy.
+    era: u64,
     revision: u64,
     /// Revision below which changes are forgotten.
     floor: u64,
@@ -103,6 +112,32 @@
         state.floor = state.revision;
     }
 
+    /// Copies what the store holds.
+    pub fn copy(&self) -> StoreCopy {
+        let state = self.lock();
+        StoreCopy {
+            revision: state.revision,
+            objects: state.objects.clone(),
+        }
+    }
+
+    /// Brings the store back from a copy: all writes since are gone, and their revisions are given
+    /// out again. Calls that wait are cut.
+    pub fn restore(&self, copy: StoreCopy) {
+        let mut state = self.lock();
+        state.era += 1;
+        state.revision = copy.revision;
+        state.objects = copy.objects;
+    }
+
+    /// Returns the names of the objects of a kind.
+    pub fn names(&self, kind: &str) -> Vec<String> {
+        let state = self.lock();
+        let standing = state.objects.iter().filter(|(_, o)| !o.is_deleted);
+        let names = standing.filter(|((k, _), _)| k == kind);
+        names.map(|((_, name), _)| name.clone()).collect()
+    }
+
     /// Returns the number of calls so far, refused ones included.
     pub fn calls(&self) -> u64 {
         self.lock().calls
@@ -137,10 +172,16 @@
             let Ok(body) = connection.read_body(framing, &limits).await else {
                 return;
             };
+            let era = self.lock().era;
             let Some((status, body)) = self.answer(&head, &body).await else {
                 return;
             };
-            let mut bytes = ResponseHead::new(status).encode(Some(body.len()));
+            if self.lock().era != era {
+                return;
+            }
+            let mut head = ResponseHead::new(status);
+            head.headers.add("Store-Era", &era.to_string());
+            let mut bytes = head.encode(Some(body.len()));
             bytes.extend_from_slice(&body);
             if connection.write(&bytes).await.is_err() {
                 return;
@@ -198,7 +239,7 @@
         loop {
             {
                 let state = self.lock();
-                if after < state.floor {
+                if after < state.floor || after > state.revision {
                     return (410, Value::Null);
                 }
                 let events = state.events(kind, after);
