Bound what is read from a server that sends without end

Change: bodies of the backend server, strays included, are taken from one budget of an eighth of the memory as they come (transport::h1::Meter); at most 16 interim responses and 64 trailers; a reader yields after 16 reads in a row.

Ruled out: a smaller limit for each body (it would have to be an eighth of the memory over the slots, less than long answers need).

--- a/crates/config/src/proxy.rs
+++ b/crates/config/src/proxy.rs
@@ -70,8 +70,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields, rename_all = "camelCase")]
 pub struct LoadPolicy {
-    /// Part of the time to spare before its target that a request may wait at the first server that
-    /// it is offered to.
+    /// Part of the time to spare before its target that a request may wait at a server in this
+    /// availability zone.
+    pub near_wait: f64,
+    /// The same at a server in another one.
     pub first_wait: f64,
     /// Part of the time left that a request may wait once no server had room in time.
     pub late_wait: f64,
@@ -133,6 +135,7 @@
 impl Default for LoadPolicy {
     fn default() -> Self {
         LoadPolicy {
+            near_wait: 0.7,
             first_wait: 0.4,
             late_wait: 0.3,
             nested_reserve: 0.5,
@@ -143,8 +146,9 @@
 }
 
 impl LoadPolicy {
-    fn parts(&self) -> [(&'static str, f64); 3] {
+    fn parts(&self) -> [(&'static str, f64); 4] {
         [
+            ("policy.nearWait", self.near_wait),
             ("policy.firstWait", self.first_wait),
             ("policy.lateWait", self.late_wait),
             ("policy.nestedReserve", self.nested_reserve),
@@ -165,12 +169,18 @@
 }
 
 impl ProcessLimits {
-    /// Bytes of requests and answers that may be held at a time: a quarter of the memory, since each
+    /// Bytes of requests that may be held at a time: a quarter of the memory, since each
     /// may be copied once.
     pub fn held_bytes(&self) -> u64 {
         self.memory * 1024 * 1024 / 4
     }
 
+    /// Bytes of answers that may be read from the backend server at a time: an eighth of the memory,
+    /// since a growing buffer may be copied.
+    pub fn answer_bytes(&self) -> u64 {
+        self.memory * 1024 * 1024 / 8
+    }
+
     /// Connections of callers that may be open at a time: half of the descriptors, as each may need
     /// one to another proxy.
     pub fn connections(&self) -> usize {
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -3,7 +3,7 @@
 //! A connection to a backend server may carry bytes that belong to no request of ours: a second
 //! answer to an earlier request, an answer without an end, or no HTTP at all. An answer counts only
 //! if it names the request, is signed where it reports success, and has ended; whatever else comes
-//! closes the connection.
+//! closes the connection. What is read is bounded in bytes, by one budget for all slots, and in time.
 
 use crate::control::Event;
 use crate::dialect::Dialect;
@@ -173,6 +173,7 @@
     order: &AttemptOrder,
 ) -> Result<(AttemptEnd, bool), ReadError> {
     let limits = ReadLimits::default();
+    let hold = shared.answers.hold();
     for _ in 0..=MAX_STRAYS {
         let head = connection.read_response(&limits).await?;
         let tags = shared.dialect.read_answer(&head);
@@ -187,13 +188,13 @@
             if framing == Framing::UntilClose {
                 return Err(unusable("stray answer without an end"));
             }
-            connection.read_body(framing, &limits).await?;
+            connection.read_metered(framing, &limits, &hold).await?;
             continue;
         }
         if tags.request.is_none() && !tags.is_not_run {
             return Err(unusable("answer that names no request"));
         }
-        let body = connection.read_body(framing, &limits).await?;
+        let body = connection.read_metered(framing, &limits, &hold).await?;
         let is_reusable = head.keeps_open() && framing != Framing::UntilClose;
         if tags.is_not_run {
             let rejection = match head.status {
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -13,7 +13,7 @@
 use rf_config::ProxySettings;
 use rf_traffic::placement::PlacementSettings;
 use rf_traffic::{Ages, Link, PauseTimes, Placement, RetryBudget, Returns, Shares, StrikeBook};
-use rf_transport::h1::{Pool, PoolSettings};
+use rf_transport::h1::{Meter, Pool, PoolSettings};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -68,8 +68,10 @@
     pub inlet: Inlet,
     /// Newest era of the store that this proxy knows.
     pub store_era: AtomicU64,
-    /// Bytes of requests and answers that are held.
+    /// Bytes of requests that are held.
     pub held: HeldBytes,
+    /// Bytes of answers that are read from the backend server.
+    pub answers: HeldBytes,
     placement: Mutex<Placement>,
     shares: Mutex<Shares>,
     budgets: Mutex<BTreeMap<ServiceName, RetryBudget>>,
@@ -133,6 +135,7 @@
             link,
             store_era: AtomicU64::new(0),
             held: HeldBytes::new(settings.limits.held_bytes()),
+            answers: HeldBytes::new(settings.limits.answer_bytes()),
             placement: Mutex::new(Placement::with_settings(fork(), placement)),
             shares: Mutex::new(Shares::new(fork())),
             budgets: Mutex::default(),
@@ -337,7 +340,16 @@
 #[derive(Debug)]
 pub struct Hold {
     held: Arc<AtomicU64>,
-    bytes: u64,
+    limit: u64,
+    bytes: AtomicU64,
+}
+
+impl Meter for Hold {
+    fn take(&self, bytes: usize) -> bool {
+        let bytes = bytes as u64;
+        self.bytes.fetch_add(bytes, Ordering::Relaxed);
+        self.held.fetch_add(bytes, Ordering::Relaxed) + bytes <= self.limit
+    }
 }
 
 impl HeldBytes {
@@ -350,17 +362,23 @@
 
     /// Reserves `bytes`; `None` where too many are held.
     pub fn take(&self, bytes: u64) -> Option<Hold> {
-        let before = self.held.fetch_add(bytes, Ordering::Relaxed);
-        let hold = Hold {
+        let hold = self.hold();
+        hold.take(bytes as usize).then_some(hold)
+    }
+
+    /// Returns a hold of nothing yet, which takes bytes as they come.
+    pub fn hold(&self) -> Hold {
+        Hold {
             held: self.held.clone(),
-            bytes,
-        };
-        (before + bytes <= self.limit).then_some(hold)
+            limit: self.limit,
+            bytes: AtomicU64::new(0),
+        }
     }
 }
 
 impl Drop for Hold {
     fn drop(&mut self) {
-        self.held.fetch_sub(self.bytes, Ordering::Relaxed);
+        let bytes = self.bytes.load(Ordering::Relaxed);
+        self.held.fetch_sub(bytes, Ordering::Relaxed);
     }
 }
--- a/crates/standin/src/users/mod.rs
+++ b/crates/standin/src/users/mod.rs
@@ -6,5 +6,5 @@
 pub mod store;
 
 pub use mesh::{Mesh, MeshSettings};
-pub use server::{ServerBehaviour, UsersServer};
+pub use server::{Endless, ServerBehaviour, UsersServer};
 pub use store::{StoreFault, UsersStore};
--- a/crates/standin/src/users/server.rs
+++ b/crates/standin/src/users/server.rs
@@ -42,10 +42,61 @@
     Long(usize),
     /// It answers a request with a body before it has read that, and reads on.
     Early,
+    /// It sends bytes that are no answer until the connection is closed.
+    Endless(Endless),
     /// It dies of requests whose target holds this text, and is back after [`DOWN`].
     DiesOf(String),
 }
 
+/// Where bytes that are no answer come without end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Endless {
+    /// One line of a head.
+    Line,
+    /// Fields of a head.
+    Fields,
+    /// Interim responses.
+    Interim,
+    /// A body that ends with the connection.
+    Body,
+    /// Chunks of a body.
+    Chunks,
+    /// The extension of a chunk.
+    Extension,
+    /// Trailers of a chunked body.
+    Trailers,
+    /// A second answer without a length, to another request.
+    Stray,
+}
+
+impl Endless {
+    /// Returns what is sent first, and what is sent again and again.
+    fn bytes(self, request: &str) -> (String, Vec<u8>) {
+        let named = format!(
+            "HTTP/1.1 200 OK\r\nX-Rosemaryfork-Request-Id: {request}\r\n\
+             X-Rosemaryfork-Response-Signature: s.1\r\n"
+        );
+        let chunked = format!("{named}Transfer-Encoding: chunked\r\n\r\n");
+        let filler = vec![b'x'; 16 * 1024];
+        match self {
+            Endless::Line => (format!("{named}X-Line: "), filler),
+            Endless::Fields => (named, b"X-Field: x\r\n".repeat(1000)),
+            Endless::Interim => (
+                String::new(),
+                b"HTTP/1.1 102 Processing\r\n\r\n".repeat(500),
+            ),
+            Endless::Body => (format!("{named}\r\n"), filler),
+            Endless::Chunks => (chunked, b"1\r\nx\r\n".repeat(2000)),
+            Endless::Extension => (format!("{chunked}1;"), filler),
+            Endless::Trailers => (format!("{chunked}0\r\n"), b"X-Field: x\r\n".repeat(1000)),
+            Endless::Stray => (
+                "HTTP/1.1 200 OK\r\nX-Rosemaryfork-Request-Id: other\r\n\r\n".to_owned(),
+                filler,
+            ),
+        }
+    }
+}
+
 /// One request as a backend server saw it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Arrival {
@@ -284,6 +335,11 @@
         if !self.run(connection, number).await {
             return false;
         }
+        if let ServerBehaviour::Endless(endless) = behaviour {
+            send_without_end(connection, endless.bytes(request)).await;
+            self.lock().arrivals[number].was_cut = true;
+            return false;
+        }
         let answer = make_answer(request, &behaviour);
         connection.write(&answer).await.ok();
         !matches!(
@@ -334,6 +390,14 @@
     }
 }
 
+/// Sends until the peer closes the connection.
+async fn send_without_end(connection: &mut Connection, (first, again): (String, Vec<u8>)) {
+    let mut is_open = connection.write(first.as_bytes()).await.is_ok();
+    while is_open {
+        is_open = connection.write(&again).await.is_ok();
+    }
+}
+
 /// Body of a good answer to a request.
 pub fn body_of(request: &str) -> String {
     format!("answer to {request}")
--- a/crates/transport/src/h1/connection.rs
+++ b/crates/transport/src/h1/connection.rs
@@ -4,6 +4,7 @@
 use super::head::{Headers, RequestHead, ResponseHead};
 use async_std::future::timeout;
 use async_std::net::TcpStream;
+use async_std::task;
 use futures_lite::future::poll_once;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use rf_base::Millis;
@@ -16,8 +17,14 @@
 const MAX_FIELDS: usize = 96;
 /// Bytes read at a time.
 const READ_BYTES: usize = 16 * 1024;
+/// Reads after which a reader lets other tasks run, though more bytes wait.
+const FILLS: u32 = 16;
 /// Longest line that announces a chunk.
 const MAX_CHUNK_LINE: usize = 256;
+/// Interim responses that are skipped before the final one.
+const MAX_INTERIM: usize = 16;
+/// Trailer fields after a chunked body at most.
+const MAX_TRAILERS: usize = 64;
 /// Unacknowledged time after which the kernel gives a connection up.
 const USER_TIMEOUT: Millis = Millis(1500);
 /// Idle time before, and between, keep-alive probes; the kernel counts in whole seconds.
@@ -43,6 +50,40 @@
     }
 }
 
+/// Budget of bytes that messages may take together.
+pub trait Meter {
+    /// Takes `bytes` more; returns `false` where that is too much.
+    fn take(&self, bytes: usize) -> bool;
+}
+
+/// A budget without end, for readers whose other limits suffice.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Unmetered;
+
+impl Meter for Unmetered {
+    fn take(&self, _bytes: usize) -> bool {
+        true
+    }
+}
+
+/// A body as it is read.
+struct Sink<'a, M> {
+    body: Vec<u8>,
+    limit: usize,
+    meter: &'a M,
+}
+
+impl<M: Meter> Sink<'_, M> {
+    fn extend(&mut self, bytes: &[u8]) -> Result<()> {
+        let fits = self.body.len().saturating_add(bytes.len()) <= self.limit;
+        if !fits || !self.meter.take(bytes.len()) {
+            return Err(ReadError::BodyTooLarge { limit: self.limit });
+        }
+        self.body.extend_from_slice(bytes);
+        Ok(())
+    }
+}
+
 /// Error of a read.
 #[derive(Debug, Snafu)]
 pub enum ReadError {
@@ -87,6 +128,7 @@
     stream: TcpStream,
     buffer: Vec<u8>,
     used: usize,
+    fills: u32,
     idle_since: Instant,
 }
 
@@ -98,6 +140,7 @@
             stream,
             buffer: Vec::new(),
             used: 0,
+            fills: 0,
             idle_since: Instant::now(),
         }
     }
@@ -205,15 +248,20 @@
     ///
     /// Returns a [`ReadError`]; [`ReadError::Closed`] where the peer closed before the first byte.
     pub async fn read_response(&mut self, limits: &ReadLimits) -> Result<ResponseHead> {
+        let mut interim = 0;
         loop {
             if self.has_bytes()
                 && let Some((head, length)) = parse_response(self.unused())?
             {
                 self.advance(length);
-                if (100..200).contains(&head.status) {
-                    continue;
+                if !(100..200).contains(&head.status) {
+                    return Ok(head);
                 }
-                return Ok(head);
+                interim += 1;
+                if interim > MAX_INTERIM {
+                    return Err(malformed("interim responses without end"));
+                }
+                continue;
             }
             self.fill_head(limits).await?;
         }
@@ -237,26 +285,44 @@
     ///
     /// Returns a [`ReadError`] where the body breaks off, is malformed or too long.
     pub async fn read_body(&mut self, framing: Framing, limits: &ReadLimits) -> Result<Vec<u8>> {
-        match framing {
-            Framing::Empty => Ok(Vec::new()),
-            Framing::Length(length) => self.read_length(length, limits.body).await,
-            Framing::Chunked => self.read_chunks(limits.body).await,
-            Framing::UntilClose => self.read_rest(limits.body).await,
-        }
+        self.read_metered(framing, limits, &Unmetered).await
     }
 
-    async fn read_length(&mut self, length: u64, limit: usize) -> Result<Vec<u8>> {
-        let length = usize::try_from(length).unwrap_or(usize::MAX);
-        if length > limit {
-            return Err(ReadError::BodyTooLarge { limit });
+    /// Reads a whole body whose bytes are taken from a budget as they come.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`ReadError`] where the body breaks off, is malformed or too long, or where the
+    /// budget is used up.
+    pub async fn read_metered<M: Meter>(
+        &mut self,
+        framing: Framing,
+        limits: &ReadLimits,
+        meter: &M,
+    ) -> Result<Vec<u8>> {
+        let mut sink = Sink {
+            body: Vec::new(),
+            limit: limits.body,
+            meter,
+        };
+        match framing {
+            Framing::Empty => {}
+            Framing::Length(length) => {
+                let length = usize::try_from(length).unwrap_or(usize::MAX);
+                if length > sink.limit {
+                    return Err(ReadError::BodyTooLarge { limit: sink.limit });
+                }
+                sink.body.reserve(length.min(READ_BYTES * 8));
+                self.read_into(&mut sink, length).await?;
+            }
+            Framing::Chunked => self.read_chunks(&mut sink).await?,
+            Framing::UntilClose => self.read_rest(&mut sink).await?,
         }
-        let mut body = Vec::with_capacity(length.min(READ_BYTES * 8));
-        self.read_into(&mut body, length).await?;
-        Ok(body)
+        Ok(sink.body)
     }
 
-    /// Moves `length` bytes to the end of `body`.
-    async fn read_into(&mut self, body: &mut Vec<u8>, length: usize) -> Result<()> {
+    /// Moves `length` bytes to the end of `sink`.
+    async fn read_into<M: Meter>(&mut self, sink: &mut Sink<'_, M>, length: usize) -> Result<()> {
         let mut missing = length;
         while missing > 0 {
             if !self.has_bytes() && self.fill().await? == 0 {
@@ -264,44 +330,43 @@
             }
             let unused = self.unused();
             let taken = unused.len().min(missing);
-            body.extend_from_slice(&unused[..taken]);
+            sink.extend(&unused[..taken])?;
             self.advance(taken);
             missing -= taken;
         }
         Ok(())
     }
 
-    async fn read_rest(&mut self, limit: usize) -> Result<Vec<u8>> {
-        let mut body = Vec::new();
+    async fn read_rest<M: Meter>(&mut self, sink: &mut Sink<'_, M>) -> Result<()> {
         loop {
-            body.extend_from_slice(self.unused());
+            sink.extend(self.unused())?;
             self.advance(self.unused().len());
-            if body.len() > limit {
-                return Err(ReadError::BodyTooLarge { limit });
-            }
             if self.fill().await? == 0 {
-                return Ok(body);
+                return Ok(());
             }
         }
     }
 
-    async fn read_chunks(&mut self, limit: usize) -> Result<Vec<u8>> {
-        let mut body = Vec::new();
+    async fn read_chunks<M: Meter>(&mut self, sink: &mut Sink<'_, M>) -> Result<()> {
         loop {
             let length = parse_chunk_length(&self.read_line().await?)?;
             if length == 0 {
                 break;
             }
-            if body.len().saturating_add(length) > limit {
-                return Err(ReadError::BodyTooLarge { limit });
+            if sink.body.len().saturating_add(length) > sink.limit {
+                return Err(ReadError::BodyTooLarge { limit: sink.limit });
             }
-            self.read_into(&mut body, length).await?;
+            self.read_into(sink, length).await?;
             if !self.read_line().await?.is_empty() {
                 return Err(malformed("chunk longer than announced"));
             }
         }
-        while !self.read_line().await?.is_empty() {}
-        Ok(body)
+        for _ in 0..=MAX_TRAILERS {
+            if self.read_line().await?.is_empty() {
+                return Ok(());
+            }
+        }
+        Err(malformed("trailers without end"))
     }
 
     async fn read_line(&mut self) -> Result<Vec<u8>> {
@@ -335,6 +400,11 @@
 
     /// Reads more bytes; returns how many.
     async fn fill(&mut self) -> Result<usize> {
+        // A peer that sends without pause must not keep the reader from its own time limit.
+        self.fills = self.fills.wrapping_add(1);
+        if self.fills.is_multiple_of(FILLS) {
+            task::yield_now().await;
+        }
         if self.used > 0 {
             self.buffer.drain(..self.used);
             self.used = 0;
