Wait longer at a near server before a request leaves its zone

Hypothesis: a near server is chosen while its answer is expected within 0.85 of the time to the target, but its gate was given 0.4 of the time to spare, so requests left the zone that placement meant to keep.

Change: policy.nearWait 0.7 in the zone (its setting came with the commit before this one); policy.firstWait 0.4 stays for others.

--- a/crates/proxy/src/pursue.rs
+++ b/crates/proxy/src/pursue.rs
@@ -345,7 +345,10 @@
             usual,
         };
         let parts = WaitParts {
-            first: policy.first_wait,
+            first: match target.candidate.is_near {
+                true => policy.near_wait,
+                false => policy.first_wait,
+            },
             late,
         };
         let patience = pursuit.patience(times, parts);
