End a round of offers after three refusals, the second after one

Hypothesis: under overload every gate is full, and more offers decide who is served, not how many.

Change: rounds end after 3 and 1 refusals in place of 6 and 3.

--- a/crates/traffic/src/pursuit.rs
+++ b/crates/traffic/src/pursuit.rs
@@ -19,7 +19,7 @@
 
 /// Refusals for lack of room after which a round of offers ends, by round. The servers that placement
 /// expects to be free come first, so a few refusals tell that the others are busy as well.
-const ROUND_REFUSALS: [u32; 2] = [6, 3];
+const ROUND_REFUSALS: [u32; 2] = [3, 1];
 /// Part of the time to the target after which no further offer is made in a round, by round. A
 /// refusal that comes sooner leaves its caller the time to return.
 const ROUND_PARTS: [f64; 2] = [0.25, 0.5];
