Hold runs back as far as more urgent requests are refused, no further

Change: lead 1.0, so a kind that calls a service gets the part that the more urgent kind gets there.

--- a/crates/traffic/src/chain.rs
+++ b/crates/traffic/src/chain.rs
@@ -25,7 +25,7 @@
 use std::collections::BTreeMap;
 
 /// Runs held back for each request of a more urgent rank that is not served.
-const LEAD: f64 = 1.2;
+const LEAD: f64 = 1.0;
 /// Part of the calls of a service that is served at least where late runs that call it are begun.
 const LATE_PART: f64 = 0.9;
 /// Part that is begun at least, however many of a more urgent rank are not served.
