Use the server beside a stopping proxy until half of the stop is over

Change: others are told to leave it alone 1.3 s after the signal instead of at once. Readiness and callers are as before. The gate refuses what could outlast the process; 1.3 s are left for the news, and running work is waited for.

Ruled out: use until the end, which reset attempts that reached a process in the moment of its end.

--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -29,6 +29,10 @@
 /// Shortest time between the signal to stop and the end: the platform takes an instance out after
 /// two failed probes a second apart, and a request that came before is still answered.
 const MIN_STOP: Millis = Millis(2600);
+/// Time from the signal to stop until others are told to leave the backend server alone: it lives on
+/// and serves through its gate until then. What is left until the earliest end is several times what
+/// the news takes, and what runs by then is waited for.
+const TELL_AFTER: Millis = Millis(1300);
 /// Time without work after which a stop is complete.
 const STOP_QUIET: Millis = Millis(300);
 /// Time kept back before the process would be killed.
@@ -142,10 +146,14 @@
         let grace = self.shared.settings.load().bounds.grace;
         let last = start + grace.since(STOP_MARGIN);
         self.shared.stop(last);
-        self.events.send(Event::Stop).await.ok();
+        let mut is_told = false;
         let mut quiet_since = None;
         loop {
             let now = self.shared.now();
+            if !is_told && now.since(start) >= TELL_AFTER {
+                is_told = true;
+                self.events.send(Event::Stop).await.ok();
+            }
             let busy = self.shared.busy();
             if busy > 0 {
                 quiet_since = None;
