Count a caller's age from the mean time of first tries

Hypothesis: the least age (0.85 of the longest time) makes returns look up to a third of a second younger than they are.

Change: the age of a return counts from the mean time of first tries.

--- a/crates/traffic/src/age.rs
+++ b/crates/traffic/src/age.rs
@@ -2,8 +2,8 @@
 //!
 //! A caller that was refused comes back with what is left of its time, and its answer is worth most
 //! within the target counted from its first try. A proxy sees only the new request. But the callers
-//! of a route give about the same time at their first try; what a request lacks of the longest that
-//! is seen, beyond what callers differ by, has passed already. So the age is a lower bound.
+//! of a route give about the same time at their first try: what a request lacks of the mean of first
+//! tries, beyond what callers differ by, has passed already.
 //!
 //! Where few requests come with about the longest time, callers differ more, and nothing is
 //! concluded.
@@ -19,6 +19,8 @@
 const FIRST_PART: f64 = 0.85;
 /// First tries, as a divisor of all requests, from which the longest time is believed.
 const USUAL_PART: u32 = 4;
+/// Weight of the newest first try in their mean, as a divisor.
+const SMOOTHING: u32 = 64;
 /// Requests below which nothing is concluded.
 const FEW_REQUESTS: u32 = 8;
 /// Requests after which older ones count half.
@@ -30,8 +32,9 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Times {
     longest: Millis,
-    /// Requests that came with about that time.
+    /// Requests that came with about that time, and their mean.
     first: u32,
+    mean: f64,
     total: u32,
     used: Millis,
 }
@@ -53,7 +56,11 @@
         self.longest = self.longest.max(left);
         self.used = now;
         self.total += 1;
-        self.first += u32::from(left >= self.least());
+        if left >= self.least() {
+            self.first += 1;
+            let weight = f64::from(self.first.min(SMOOTHING));
+            self.mean += (left.0 as f64 - self.mean) / weight;
+        }
     }
 
     /// Returns the least time that a first try comes with.
@@ -63,8 +70,8 @@
 
     fn age(&self, left: Millis) -> Millis {
         let is_known = self.total >= FEW_REQUESTS && self.first >= self.total / USUAL_PART;
-        match is_known {
-            true => self.least().since(left),
+        match is_known && left < self.least() {
+            true => Millis(self.mean as u64).since(left),
             false => Millis::ZERO,
         }
     }
