Bound what a cold backend server gets; describe one that turns cold again

Change: the route table carries the pace of each service's cold servers; the gate, which all requests pass, begins no more in any second while its server is cold (traffic::cold). Runs of the time before count, as a server may turn cold at any moment, and a heartbeat that tells of a longer cold time describes the server anew.

Ruled out: shares of the pace at each proxy, which need agreement and idle where load is uneven.

Tests: traffic cold::*, resident::a_server_that_turns_cold_again_is_described_anew, gate::a_cold_server_gets_no_more_than_its_pace.

--- a/crates/config/src/patch.rs
+++ b/crates/config/src/patch.rs
@@ -42,6 +42,9 @@
     pub limits: CallerLimits,
     /// Services of the newer table.
     pub services: BTreeMap<ServiceName, u32>,
+    /// Paces of cold backend servers of the newer table.
+    #[serde(default)]
+    pub cold_paces: BTreeMap<ServiceName, u32>,
     /// Buckets that are replaced.
     pub buckets: BTreeSet<u8>,
     /// Routes in these buckets, by host.
@@ -92,6 +95,7 @@
             digest: digest.clone(),
             limits: table.limits,
             services: table.services.clone(),
+            cold_paces: table.cold_paces.clone(),
             buckets,
             routes,
         }
@@ -123,6 +127,7 @@
             version: self.version,
             limits: self.limits,
             services: self.services.clone(),
+            cold_paces: self.cold_paces.clone(),
             hosts,
         };
         table.sort();
--- a/crates/config/src/routes.rs
+++ b/crates/config/src/routes.rs
@@ -80,6 +80,9 @@
     pub limits: CallerLimits,
     /// Services with the connections that one of their backend servers accepts.
     pub services: BTreeMap<ServiceName, u32>,
+    /// Requests that a cold backend server bears in a second, of those services that name it.
+    #[serde(default)]
+    pub cold_paces: BTreeMap<ServiceName, u32>,
     /// Routes by host, longest prefix first.
     pub hosts: BTreeMap<String, Vec<PathRoute>>,
 }
--- a/crates/proxy/src/control/driver.rs
+++ b/crates/proxy/src/control/driver.rs
@@ -113,6 +113,9 @@
                 let version = &self.shared.metrics.table_version;
                 version.set(table.version.0 as i64);
                 self.shared.shares().reset();
+                let service = &self.shared.settings.load().server.service;
+                let pace = table.cold_paces.get(service).copied();
+                self.shared.gate.set_cold_pace(pace);
             }
             Action::Follow(topic, is_mine) => self.shared.duties.set(topic, is_mine),
             Action::Strikes(book) => self.shared.strikes.store(Arc::new(*book)),
--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -14,7 +14,8 @@
 };
 use rf_traffic::admission::{Entry, Place, Queue, QueueSettings, Wakeups, Wish};
 use rf_traffic::{
-    Begin, ChainSettings, Chains, Knowledge, Ledger, LedgerSettings, Resident, Returns, Start,
+    Begin, ChainSettings, Chains, ColdPace, Knowledge, Ledger, LedgerSettings, Resident, Returns,
+    Start,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -56,6 +57,7 @@
     /// Requests that run, by the id that their callers gave them.
     requests: BTreeMap<String, Running>,
     chains: Chains,
+    pace: ColdPace,
     random: SeededRandom,
     resident: Option<Resident>,
     end: Option<Millis>,
@@ -151,6 +153,7 @@
             unsent: BTreeSet::new(),
             requests: BTreeMap::new(),
             chains: Chains::new(chains),
+            pace: ColdPace::default(),
             random,
             resident: None,
             end: None,
@@ -173,6 +176,11 @@
         inner.wake(wakeups);
     }
 
+    /// Changes how many requests a second the backend server gets while it is cold.
+    pub fn set_cold_pace(&self, limit: Option<u32>) {
+        self.lock().pace.set(limit);
+    }
+
     /// Lets nothing through any more; what waits is rejected, what runs goes on.
     pub fn close(&self) {
         let mut inner = self.lock();
@@ -242,6 +250,7 @@
             let now = self.clock.now();
             let mut inner = self.lock();
             self.check(&inner, order)?;
+            inner.check_pace(now)?;
             self.check_chain(now, &mut inner, order)?;
             let wish = wish_of(now, terms);
             match inner.queue.enter(now, wish, terms.patience) {
@@ -253,7 +262,9 @@
         let waited = waiting.finish(terms.patience.min(terms.left)).await;
         waited.map_err(|rejection| self.soften(rejection, order))?;
         let mut inner = self.lock();
-        match self.check(&inner, order) {
+        let now = self.clock.now();
+        let checked = self.check(&inner, order);
+        match checked.and_then(|()| inner.check_pace(now)) {
             Ok(()) => self.begin(&mut inner, order),
             Err(rejection) => {
                 inner.release(self.clock.now(), None);
@@ -309,6 +320,7 @@
         let now = self.clock.now();
         let mut inner = self.lock();
         self.check(&inner, order)?;
+        inner.check_pace(now)?;
         let patience = terms.patience.min(terms.left);
         let wish = wish_of(now, terms);
         if !inner.queue.has_room(now, &wish, patience, inner.coming) {
@@ -356,6 +368,7 @@
         match (begun, &inner.resident) {
             (Begin::Run, Some(resident)) => {
                 let resident = resident.clone();
+                inner.pace.begin(now);
                 inner.remember_request(now, order);
                 Ok(Pass {
                     gate: self.clone(),
@@ -428,6 +441,15 @@
 }
 
 impl Inner {
+    /// Refuses a run that a cold backend server may not bear.
+    fn check_pace(&mut self, now: Millis) -> Result<()> {
+        let is_cold = self.resident.as_ref().is_some_and(|r| now < r.warm_at);
+        match self.pace.wait(now).filter(|_| is_cold) {
+            Some(wait) => Err(Rejection::Busy(wait)),
+            None => Ok(()),
+        }
+    }
+
     fn remember_request(&mut self, now: Millis, order: &AttemptOrder) {
         let running = self.requests.entry(order.request.clone());
         let running = running.or_insert_with(|| Running {
--- a/crates/proxy/tests/gate.rs
+++ b/crates/proxy/tests/gate.rs
@@ -25,15 +25,19 @@
         Arc::default(),
         mechanisms,
     );
-    gate.open(&Resident {
+    gate.open(&resident());
+    gate
+}
+
+fn resident() -> Resident {
+    Resident {
         id: "i-1".to_owned(),
         address: ([127, 0, 0, 1], 9).into(),
         service: "payments".into(),
         version: "v1".into(),
         slots: 2,
         warm_at: Millis::ZERO,
-    });
-    gate
+    }
 }
 
 fn order(id: u64, patience: u64) -> AttemptOrder {
@@ -146,3 +150,18 @@
     }
     assert!(held > 90, "{held} of 180 were held back");
 }
+
+#[test]
+fn a_cold_server_gets_no_more_than_its_pace() {
+    let gate = open_gate();
+    gate.set_cold_pace(Some(3));
+    let run = |id| run_with_call(&gate, id, "ledger", CallEnd::Served);
+    for id in 0..10 {
+        run(id).expect("the server is warm");
+    }
+    gate.open(&Resident {
+        warm_at: Clock::system().now() + Millis(5000),
+        ..resident()
+    });
+    assert!(matches!(run(10), Err(Rejection::Busy(_))));
+}
--- a/crates/traffic/src/resident.rs
+++ b/crates/traffic/src/resident.rs
@@ -62,6 +62,9 @@
 /// of the users' days last some ten seconds.
 const LATE_HEARTBEAT: Millis = Millis::from_secs(60);
 
+/// Time by which a server must stay cold for longer than was known to count as cold again.
+const COLDER: Millis = Millis(500);
+
 /// What an announcement led to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -148,7 +151,8 @@
                 warm_at: resident.warm_at,
                 ..opened.clone()
             } == *resident;
-            if is_same {
+            let is_colder = warm_at > resident.warm_at + COLDER;
+            if is_same && !(is_colder && news.cold > Millis::ZERO) {
                 return Change::Same;
             }
         }
--- a/crates/traffic/tests/resident.rs
+++ b/crates/traffic/tests/resident.rs
@@ -127,3 +127,24 @@
     let successor = residence.announce(NOW + Millis(100), &news("b", 900, 1, true));
     assert_eq!(successor, Change::Opened);
 }
+
+#[test]
+fn a_server_that_turns_cold_again_is_described_anew() {
+    let mut residence = residence();
+    announce(&mut residence, &news("a", 1, 1, true));
+    let cold = Announcement {
+        cold: Millis(3000),
+        ..news("a", 1, 2, true)
+    };
+    assert_eq!(announce(&mut residence, &cold), Change::Opened);
+    let warm_at = residence.resident().map(|r| r.warm_at);
+    assert_eq!(warm_at, Some(NOW + Millis(3000)));
+    // The same end of the cold, told a moment later.
+    let later = Announcement {
+        cold: Millis(2000),
+        seq: 3,
+        ..cold
+    };
+    let change = residence.announce(NOW + Millis(1000), &later);
+    assert_eq!(change, Change::Same);
+}
