--- a/crates/traffic/src/chain.rs
+++ b/crates/traffic/src/chain.rs
@@ -127,15 +127,10 @@
         let known = self.routes.get(&start.route);
         let known = known.filter(|r| r.runs >= FEW_RUNS).unwrap_or(&self.all);
         let callees = known.calls.iter().filter(|(_, share)| **share >= MIN_SHARE);
-        let callees: Vec<(ServiceName, f64)> = callees.map(|(s, n)| (s.clone(), *n)).collect();
-        let fair = |part: f64| (1.0 - LEAD * (1.0 - part)).max(FAIR_PART);
-        let bound = |service: &ServiceName| match self.settings.fair_bound {
-            true => fair(urgent(service)),
-            false => 1.0,
-        };
-        let parts = callees
-            .iter()
-            .map(|(s, _)| self.part(now, s, start.priority).min(bound(s)));
+        let parts = callees.clone().map(|(service, _)| {
+            let part = self.part(now, service, start.priority);
+            part.min(self.fair_part(urgent(service)))
+        });
         let part: f64 = parts.product();
         if start.is_late {
             return part >= LATE_PART;
@@ -144,12 +139,20 @@
             return true;
         }
         for (service, share) in callees {
-            let calls = self.calls.entry((service, start.priority)).or_default();
-            calls.withhold(now, share);
+            let calls = self.calls.entry((service.clone(), start.priority));
+            calls.or_default().withhold(now, *share);
         }
         false
     }
 
+    /// Returns the part that is begun at most where `urgent` of the more urgent requests are served.
+    fn fair_part(&self, urgent: f64) -> f64 {
+        match self.settings.fair_bound {
+            true => (1.0 - LEAD * (1.0 - urgent)).max(FAIR_PART),
+            false => 1.0,
+        }
+    }
+
     /// Returns the part of the runs at rank `priority` whose calls `service` is expected to serve.
     pub fn part(&self, now: Millis, service: &ServiceName, priority: u8) -> f64 {
         let calls = self.calls.get(&(service.clone(), priority));
