Tell a store's first era apart from one that follows a restore

A process that started in a later era logged store.restored at its first answer; its own clock of eras began at 0. The era is now unknown before the store was heard of, and a proxy whose store names no era does not write its entry again and again. Tests of restore and control pass.

--- a/crates/protocol/src/relay.rs
+++ b/crates/protocol/src/relay.rs
@@ -281,7 +281,7 @@
     pub store_age: Millis,
     /// Newest era of the store that the sender knows.
     #[serde(default)]
-    pub store_era: u64,
+    pub store_era: Option<u64>,
 }
 
 /// Message from one daemon to another.
--- a/crates/proxy/src/control/driver.rs
+++ b/crates/proxy/src/control/driver.rs
@@ -176,9 +176,7 @@
             let calls = &shared.metrics.store_calls;
             calls.with_label_values(&["record", label]).inc();
             match result {
-                Ok(()) => {
-                    info!(event = "rollout.recorded", %service, ?state, revision)
-                }
+                Ok(()) => info!(event = "rollout.recorded", %service, ?state, revision),
                 Err(error) => {
                     warn!(event = "rollout.unrecorded", %service, ?state, revision, %error);
                 }
--- a/crates/proxy/src/control/machine.rs
+++ b/crates/proxy/src/control/machine.rs
@@ -88,7 +88,8 @@
     sent_trials: BTreeMap<u64, u64>,
     next_observe: Millis,
     store_seen: Millis,
-    store_era: u64,
+    /// Newest era of the store that is known; none before the store was heard of.
+    store_era: Option<u64>,
     duties: BTreeSet<Topic>,
     fetch: TableFetch,
     started: Millis,
@@ -128,7 +129,7 @@
             sent_trials: BTreeMap::new(),
             next_observe: Millis::ZERO,
             store_seen: Millis::ZERO,
-            store_era: 0,
+            store_era: None,
             duties: BTreeSet::new(),
             fetch: TableFetch::default(),
             started: settings.started,
@@ -164,7 +165,7 @@
             Event::Observed(trial) => self.orders.observe(&trial),
             Event::StoreAnswered(era) => {
                 self.store_seen = now;
-                self.take_era(now, era, &mut actions);
+                self.take_era(now, Some(era), &mut actions);
             }
             Event::Told(member) => self.membership.handle_description(now, &member),
             Event::Replied(target, kind, reply) => {
@@ -298,14 +299,17 @@
     }
 
     /// Takes in that the store is in `era`; what it has lost is written again by those it concerns.
-    fn take_era(&mut self, now: Millis, era: u64, actions: &mut Vec<Action>) {
+    fn take_era(&mut self, now: Millis, era: Option<u64>, actions: &mut Vec<Action>) {
         if era <= self.store_era {
             return;
         }
-        warn!(event = "store.restored", era, before = self.store_era);
-        self.store_era = era;
-        self.membership.kick(now);
-        actions.push(Action::Restored(era));
+        if let Some(before) = std::mem::replace(&mut self.store_era, era)
+            && let Some(era) = era
+        {
+            warn!(event = "store.restored", era, before);
+            self.membership.kick(now);
+            actions.push(Action::Restored(era));
+        }
     }
 
     fn answer_exchange(
--- a/crates/proxy/src/control/sync.rs
+++ b/crates/proxy/src/control/sync.rs
@@ -202,9 +202,10 @@
         self.events.send(Event::Entries(known)).await.ok();
         let mut era = self.register(entry, is_recorded).await;
         loop {
-            if self.shared.store_era.load(Ordering::Relaxed) > era {
+            let newest = self.shared.store_era.load(Ordering::Relaxed);
+            if newest > era {
                 task::sleep(self.shared.jitter(REWRITE_SPREAD).duration()).await;
-                era = self.register(entry, true).await;
+                era = self.register(entry, true).await.max(newest);
                 info!(event = "entry.rewritten", era);
             }
             let is_alone = self.shared.view.load().proxies <= 1;
