--- a/crates/traffic/src/chain.rs
+++ b/crates/traffic/src/chain.rs
@@ -24,8 +24,6 @@
 use rf_base::{Millis, ServiceName};
 use std::collections::BTreeMap;
 
-/// Runs held back for each request of a more urgent rank that is not served.
-const LEAD: f64 = 1.0;
 /// Part of the calls of a service that is served at least where late runs that call it are begun.
 const LATE_PART: f64 = 0.9;
 /// Part that is begun at least, however many of a more urgent rank are not served.
@@ -148,7 +146,7 @@
     /// Returns the part that is begun at most where `urgent` of the more urgent requests are served.
     fn fair_part(&self, urgent: f64) -> f64 {
         match self.settings.fair_bound {
-            true => (1.0 - LEAD * (1.0 - urgent)).max(FAIR_PART),
+            true => urgent.max(FAIR_PART),
             false => 1.0,
         }
     }
