Split the guards of the gate from the gate

What an attempt holds until it is dropped (coming body, pending mark, unsent reply, place in the queue) stands in gate/guards.rs now; only moved.

--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -5,7 +5,12 @@
 //! closed until the backend server has announced itself in this life of the process, and from the
 //! moment at which it says that it leaves.
 
-use async_channel::{Receiver, Sender, bounded};
+mod guards;
+
+pub use guards::{Coming, Expected, Unsent};
+
+use async_channel::{Sender, bounded};
+use guards::Waiting;
 use rf_base::{AttemptId, Clock, Incarnation, InstanceId, Millis, SeededRandom, ServiceName};
 use rf_config::{Mechanisms, Repeat};
 use rf_protocol::AttemptHeader;
@@ -514,83 +519,6 @@
     }
 }
 
-/// Counts an attempt whose body is on its way until it is dropped.
-#[derive(Debug)]
-pub struct Coming {
-    gate: Gate,
-}
-
-impl Drop for Coming {
-    fn drop(&mut self) {
-        self.gate.lock().coming -= 1;
-    }
-}
-
-/// Marks an attempt as pending until it is dropped.
-#[derive(Debug)]
-pub struct Expected {
-    gate: Gate,
-    id: AttemptId,
-}
-
-impl Drop for Expected {
-    fn drop(&mut self) {
-        self.gate.lock().pending.remove(&self.id);
-    }
-}
-
-/// Marks the reply of an attempt as not sent until it is dropped.
-#[derive(Debug)]
-pub struct Unsent {
-    gate: Gate,
-    id: AttemptId,
-}
-
-impl Drop for Unsent {
-    fn drop(&mut self) {
-        self.gate.lock().unsent.remove(&self.id);
-    }
-}
-
-/// An attempt that waits for a slot.
-#[derive(Debug)]
-struct Waiting {
-    gate: Gate,
-    id: AttemptId,
-    place: Place,
-    receiver: Receiver<Result<()>>,
-    is_over: bool,
-}
-
-impl Waiting {
-    async fn finish(mut self, limit: Millis) -> Result<()> {
-        let answer = async_std::future::timeout(limit.duration(), self.receiver.recv()).await;
-        match answer {
-            Ok(answer) => {
-                self.is_over = true;
-                answer.unwrap_or(Err(Rejection::NotHere))
-            }
-            Err(_) => Err(Rejection::Expired),
-        }
-    }
-}
-
-impl Drop for Waiting {
-    fn drop(&mut self) {
-        let mut inner = self.gate.lock();
-        inner.pending.remove(&self.id);
-        if self.is_over {
-            return;
-        }
-        if inner.queue.cancel(self.place) {
-            inner.waiters.remove(&self.place);
-        } else if self.receiver.try_recv() == Ok(Ok(())) {
-            let now = self.gate.clock.now();
-            inner.release(now, None);
-        }
-    }
-}
-
 impl Pass {
     /// Returns the backend server.
     pub fn resident(&self) -> &Resident {
--- /dev/null
+++ b/crates/proxy/src/gate/guards.rs
@@ -0,0 +1,84 @@
+//! What an attempt holds of the gate before it runs and after, until it is dropped.
+
+use super::{Gate, Result};
+use async_channel::Receiver;
+use rf_base::{AttemptId, Millis};
+use rf_protocol::relay::Rejection;
+use rf_traffic::admission::Place;
+
+/// Counts an attempt whose body is on its way until it is dropped.
+#[derive(Debug)]
+pub struct Coming {
+    pub(super) gate: Gate,
+}
+
+impl Drop for Coming {
+    fn drop(&mut self) {
+        self.gate.lock().coming -= 1;
+    }
+}
+
+/// Marks an attempt as pending until it is dropped.
+#[derive(Debug)]
+pub struct Expected {
+    pub(super) gate: Gate,
+    pub(super) id: AttemptId,
+}
+
+impl Drop for Expected {
+    fn drop(&mut self) {
+        self.gate.lock().pending.remove(&self.id);
+    }
+}
+
+/// Marks the reply of an attempt as not sent until it is dropped.
+#[derive(Debug)]
+pub struct Unsent {
+    pub(super) gate: Gate,
+    pub(super) id: AttemptId,
+}
+
+impl Drop for Unsent {
+    fn drop(&mut self) {
+        self.gate.lock().unsent.remove(&self.id);
+    }
+}
+
+/// An attempt that waits for a slot.
+#[derive(Debug)]
+pub(super) struct Waiting {
+    pub(super) gate: Gate,
+    pub(super) id: AttemptId,
+    pub(super) place: Place,
+    pub(super) receiver: Receiver<Result<()>>,
+    pub(super) is_over: bool,
+}
+
+impl Waiting {
+    pub(super) async fn finish(mut self, limit: Millis) -> Result<()> {
+        let answer = async_std::future::timeout(limit.duration(), self.receiver.recv()).await;
+        match answer {
+            Ok(answer) => {
+                self.is_over = true;
+                answer.unwrap_or(Err(Rejection::NotHere))
+            }
+            Err(_) => Err(Rejection::Expired),
+        }
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        let mut inner = self.gate.lock();
+        inner.pending.remove(&self.id);
+        if self.is_over {
+            return;
+        }
+        if inner.queue.cancel(self.place) {
+            inner.waiters.remove(&self.place);
+        } else if self.receiver.try_recv() == Ok(Ok(())) {
+            let now = self.gate.clock.now();
+            inner.release(now, None);
+        }
+    }
+}
