--- a/crates/traffic/src/admission.rs
+++ b/crates/traffic/src/admission.rs
@@ -22,6 +22,7 @@
 //! Invariants: `running` exceeds `slots` only after the slots were reduced, and no request waits
 //! while a slot is free.
 
+use crate::recent::RecentRoutes;
 use rf_base::Millis;
 use std::collections::BTreeMap;
 
@@ -92,8 +93,8 @@
     waiting: BTreeMap<Place, Wish>,
     next: u64,
     usual: Option<f64>,
-    /// Usual time of the runs of each route, with the time of the last.
-    routes: BTreeMap<u64, (f64, Millis)>,
+    /// Usual time of the runs of each route.
+    routes: RecentRoutes<Option<f64>>,
     /// Time of the last refusal of a request that could have been in time.
     pressed_at: Option<Millis>,
     settings: QueueSettings,
@@ -131,7 +132,7 @@
             waiting: BTreeMap::new(),
             next: 0,
             usual: None,
-            routes: BTreeMap::new(),
+            routes: RecentRoutes::new(MAX_ROUTES),
             pressed_at: None,
             settings,
         }
@@ -182,22 +183,12 @@
         if let Some((route, span)) = run {
             let span = span.0 as f64;
             self.usual = Some(smooth(self.usual, span));
-            if !self.routes.contains_key(&route) && self.routes.len() >= MAX_ROUTES {
-                self.forget_oldest();
-            }
-            let known = self.routes.get(&route).map(|(usual, _)| *usual);
-            self.routes.insert(route, (smooth(known, span), now));
+            let usual = self.routes.touch(now, route);
+            *usual = Some(smooth(*usual, span));
         }
         self.grant(now)
     }
 
-    fn forget_oldest(&mut self) {
-        let oldest = self.routes.iter().min_by_key(|(_, (_, at))| *at);
-        if let Some(route) = oldest.map(|(route, _)| *route) {
-            self.routes.remove(&route);
-        }
-    }
-
     /// Gives a waiting request up; returns whether it still waited.
     pub fn cancel(&mut self, place: Place) -> bool {
         self.waiting.remove(&place).is_some()
@@ -238,7 +229,7 @@
     }
 
     fn expected_run_of(&self, route: u64) -> f64 {
-        let known = self.routes.get(&route).map(|(usual, _)| *usual);
+        let known = self.routes.get(route).copied().flatten();
         let known = known.filter(|_| self.settings.route_time);
         known.unwrap_or_else(|| self.expected_run())
     }
--- a/crates/traffic/src/age.rs
+++ b/crates/traffic/src/age.rs
@@ -11,8 +11,8 @@
 //! Load pattern this answers: lasting overload in which refused callers come back. Without their age
 //! each of them looks like a fresh request that can still be in time.
 
+use crate::recent::RecentRoutes;
 use rf_base::Millis;
-use std::collections::BTreeMap;
 
 /// Part of the longest time from which a request counts as a first try: callers are not equally
 /// patient.
@@ -36,11 +36,10 @@
     first: u32,
     mean: f64,
     total: u32,
-    used: Millis,
 }
 
 impl Times {
-    fn observe(&mut self, now: Millis, left: Millis) {
+    fn observe(&mut self, left: Millis) {
         let is_rare = self.total >= MANY_REQUESTS && self.first == 0;
         if is_rare {
             *self = Times::default();
@@ -54,7 +53,6 @@
             self.first = 0;
         }
         self.longest = self.longest.max(left);
-        self.used = now;
         self.total += 1;
         if left >= self.least() {
             self.first += 1;
@@ -78,27 +76,25 @@
 }
 
 /// Ages of the requests of each route.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Ages {
-    routes: BTreeMap<u64, Times>,
+    routes: RecentRoutes<Times>,
+}
+
+impl Default for Ages {
+    fn default() -> Self {
+        Ages {
+            routes: RecentRoutes::new(MAX_ROUTES),
+        }
+    }
 }
 
 impl Ages {
     /// Takes in a request of `route` whose caller waits for `left`; returns the time since its first
     /// try, zero where that is not known.
     pub fn observe(&mut self, now: Millis, route: u64, left: Millis) -> Millis {
-        if !self.routes.contains_key(&route) && self.routes.len() >= MAX_ROUTES {
-            self.forget_oldest();
-        }
-        let times = self.routes.entry(route).or_default();
-        times.observe(now, left);
+        let times = self.routes.touch(now, route);
+        times.observe(left);
         times.age(left)
     }
-
-    fn forget_oldest(&mut self) {
-        let oldest = self.routes.iter().min_by_key(|(_, t)| t.used);
-        if let Some(route) = oldest.map(|(route, _)| *route) {
-            self.routes.remove(&route);
-        }
-    }
 }
--- a/crates/traffic/src/chain.rs
+++ b/crates/traffic/src/chain.rs
@@ -21,6 +21,7 @@
 //! - The end of a burst: the part grows by itself once no call is refused, within two seconds.
 
 use crate::acceptance::Acceptance;
+use crate::recent::RecentRoutes;
 use rf_base::{Millis, ServiceName};
 use std::collections::BTreeMap;
 
@@ -45,12 +46,10 @@
     /// Calls of each service for a run.
     calls: BTreeMap<ServiceName, f64>,
     runs: f64,
-    used: Millis,
 }
 
 impl Route {
-    fn learn(&mut self, now: Millis, made: &BTreeMap<ServiceName, u32>) {
-        self.used = now;
+    fn learn(&mut self, made: &BTreeMap<ServiceName, u32>) {
         self.runs = (self.runs + 1.0).min(RUNS);
         for service in made.keys() {
             self.calls.entry(service.clone()).or_default();
@@ -92,21 +91,29 @@
 }
 
 /// Calls that the runs of one backend server make.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Chains {
     settings: ChainSettings,
-    routes: BTreeMap<u64, Route>,
+    routes: RecentRoutes<Route>,
     /// All routes together.
     all: Route,
     calls: BTreeMap<(ServiceName, u8), Acceptance>,
 }
 
+impl Default for Chains {
+    fn default() -> Self {
+        Chains::new(ChainSettings::default())
+    }
+}
+
 impl Chains {
     /// Makes the state of a backend server none of whose runs is known.
     pub fn new(settings: ChainSettings) -> Chains {
         Chains {
             settings,
-            ..Chains::default()
+            routes: RecentRoutes::new(MAX_ROUTES),
+            all: Route::default(),
+            calls: BTreeMap::new(),
         }
     }
 
@@ -122,7 +129,7 @@
         if !self.settings.door {
             return true;
         }
-        let known = self.routes.get(&start.route);
+        let known = self.routes.get(start.route);
         let known = known.filter(|r| r.runs >= FEW_RUNS).unwrap_or(&self.all);
         let callees = known.calls.iter().filter(|(_, share)| **share >= MIN_SHARE);
         let parts = callees.clone().map(|(service, _)| {
@@ -165,11 +172,8 @@
 
     /// Takes in a run of `route` that ended, with the calls of each service that it made.
     pub fn learn(&mut self, now: Millis, route: u64, made: &BTreeMap<ServiceName, u32>) {
-        if !self.routes.contains_key(&route) && self.routes.len() >= MAX_ROUTES {
-            self.forget_oldest();
-        }
-        self.all.learn(now, made);
-        self.routes.entry(route).or_default().learn(now, made);
+        self.all.learn(made);
+        self.routes.touch(now, route).learn(made);
     }
 
     /// Returns the time until every run is begun again, if no further call is refused.
@@ -178,11 +182,4 @@
         let times = ranked.map(|(_, calls)| calls.recovery(now));
         times.max().unwrap_or_default()
     }
-
-    fn forget_oldest(&mut self) {
-        let oldest = self.routes.iter().min_by_key(|(_, r)| r.used);
-        if let Some(route) = oldest.map(|(route, _)| *route) {
-            self.routes.remove(&route);
-        }
-    }
 }
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod link;
 pub mod placement;
 pub mod pursuit;
+mod recent;
 pub mod resident;
 pub mod retry;
 pub mod returns;
