Log and count what a backend server says about itself

The logs could not tell whether nobody acts on a limit, whether repeats make up the excess, or whether only some origins act. Change: the dialect reads `Server-Limit` and `Server-Leaving`; the gate keeps a belief about its server's process with log lines and metrics. Nothing acts on it yet.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod ids;
 pub mod random;
+pub mod rate;
 pub mod time;
 pub mod units;
 pub mod verdict;
@@ -14,5 +15,6 @@
     ServiceName, VersionName, ZoneName,
 };
 pub use random::SeededRandom;
+pub use rate::RequestRate;
 pub use time::{Clock, Millis};
 pub use verdict::Verdict;
--- a/crates/protocol/src/relay.rs
+++ b/crates/protocol/src/relay.rs
@@ -7,7 +7,8 @@
 use crate::member::Member;
 use crate::message::{Exchange, ExchangeReply, Strike};
 use rf_base::{
-    AttemptId, ConfigVersion, Incarnation, InstanceId, Millis, ServiceName, VersionName,
+    AttemptId, ConfigVersion, Incarnation, InstanceId, Millis, RequestRate, ServiceName,
+    VersionName,
 };
 use rf_config::{RepeatPolicy, Rollout, TableDigest, TablePatch};
 use serde::{Deserialize, Serialize};
@@ -102,6 +103,17 @@
     pub payload: Payload,
 }
 
+/// What a backend server has said about itself in its answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerCondition {
+    /// Fingerprint of the process that said it.
+    pub process: u64,
+    /// Requests that it takes from all instances together; `None` if it names no limit.
+    pub limit: Option<RequestRate>,
+    /// Whether it leaves.
+    pub is_leaving: bool,
+}
+
 /// Load of the backend server beside a proxy.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadReport {
--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -4,7 +4,7 @@
 //! platform are defined in one place.
 
 use rf_base::{Millis, ServiceName};
-use rf_traffic::Announcement;
+use rf_traffic::{Announcement, Statement};
 use rf_transport::h1::{Headers, RequestHead, ResponseHead};
 
 /// Metadata that a caller sends with its request.
@@ -25,6 +25,8 @@
     pub is_signed: bool,
     /// Whether the backend server guarantees that it did not execute the request.
     pub is_not_run: bool,
+    /// What the backend server says about itself.
+    pub statement: Statement,
 }
 
 /// Call to the listeners for announcements and readiness.
--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -11,7 +11,9 @@
 use async_channel::{Sender, bounded};
 use guards::SlotWait;
 pub use guards::{BodyReservation, PendingGuard, PendingReply};
-use rf_base::{AttemptId, Clock, Incarnation, InstanceId, Millis, SeededRandom, ServiceName};
+use rf_base::{
+    AttemptId, Clock, Incarnation, InstanceId, Millis, RequestRate, SeededRandom, ServiceName,
+};
 use rf_config::{Mechanisms, RepeatPolicy};
 use rf_protocol::AttemptHeader;
 use rf_protocol::relay::{
@@ -19,8 +21,8 @@
 };
 use rf_traffic::admission::{Queue, QueueSettings, SlotDecision, SlotRequest, WaitId, Wakeups};
 use rf_traffic::{
-    AttemptStatus, BeginResult, ChainAdmission, ChainSettings, ColdLimiter, Ledger, LedgerSettings,
-    LocalServer, RetryDelays, RunStart,
+    AttemptStatus, BeginResult, ChainAdmission, ChainSettings, ColdLimiter, ConditionChange,
+    ConditionTracker, Ledger, LedgerSettings, LocalServer, RetryDelays, RunStart, Statement,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -35,6 +37,8 @@
 const ANSWER_TTL: Millis = Millis::from_secs(10);
 /// Maximum total size of the kept answers, in bytes.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+/// Interval at which the number of runs begun under a limit is reported.
+const LIMIT_REPORT_INTERVAL: Millis = Millis(4000);
 /// Maximum number of attempt records.
 const MAX_RECORDS: usize = 65_536;
 
@@ -63,11 +67,27 @@
     requests: BTreeMap<String, RunningRequest>,
     chains: ChainAdmission,
     cold_limiter: ColdLimiter,
+    condition: ConditionTracker,
+    /// Runs begun since the last report on the limit of the backend server, and its time.
+    started: (u32, Millis),
     random: SeededRandom,
     server: Option<LocalServer>,
     shutdown_at: Option<Millis>,
 }
 
+/// What an answer of the backend server told the gate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Observation {
+    /// How it changed what is known.
+    pub change: ConditionChange,
+    /// Limit that is in force.
+    pub limit: Option<RequestRate>,
+    /// Number of runs begun within `span`, if it is time to report it.
+    pub started: Option<u32>,
+    /// Time since the last report.
+    pub span: Millis,
+}
+
 /// A running request and the calls it has made.
 #[derive(Debug)]
 struct RunningRequest {
@@ -162,6 +182,8 @@
             requests: BTreeMap::new(),
             chains: ChainAdmission::new(chains),
             cold_limiter: ColdLimiter::default(),
+            condition: ConditionTracker::default(),
+            started: (0, Millis::ZERO),
             random,
             server: None,
             shutdown_at: None,
@@ -180,6 +202,9 @@
         let now = self.clock.now();
         let mut inner = self.lock();
         inner.server = Some(server.clone());
+        if inner.condition.set_process(server.process()) {
+            inner.started = (0, now);
+        }
         let wakeups = inner.queue.resize(now, server.slots);
         inner.wake(wakeups);
     }
@@ -391,6 +416,7 @@
             (BeginResult::Run, Some(server)) => {
                 let server = server.clone();
                 inner.cold_limiter.begin(now);
+                inner.started.0 += 1;
                 inner.start_run(now, attempt);
                 Ok(SlotPermit {
                     gate: self.clone(),
@@ -474,6 +500,28 @@
         }
     }
 
+    /// Applies what the process of `permit` said in its answer.
+    fn observe(&mut self, now: Millis, permit: &SlotPermit, statement: &Statement) -> Observation {
+        let process = permit.server.process();
+        let change = self
+            .condition
+            .observe(now, process, permit.start, statement);
+        let (started, since) = self.started;
+        let span = now.since(since);
+        let is_due = span >= LIMIT_REPORT_INTERVAL || change.limit.is_some();
+        if is_due {
+            self.started = (0, now);
+        }
+        let limit = self.condition.limit();
+        let is_reported = is_due && (limit.is_some() || change.limit.is_some());
+        Observation {
+            change,
+            limit,
+            started: is_reported.then_some(started),
+            span,
+        }
+    }
+
     fn start_run(&mut self, now: Millis, attempt: &AttemptRequest) {
         let running = self.requests.entry(attempt.request.clone());
         let running = running.or_insert_with(|| RunningRequest {
@@ -545,6 +593,12 @@
         &self.server
     }
 
+    /// Applies what the backend server says about itself in its answer.
+    pub fn observe_statement(&self, statement: &Statement) -> Observation {
+        let now = self.gate.clock.now();
+        self.gate.lock().observe(now, self, statement)
+    }
+
     /// Returns the time since the slot was acquired.
     pub fn age(&self) -> Millis {
         self.gate.clock.now().since(self.start)
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -1,7 +1,8 @@
 //! Prometheus metrics of the proxy.
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Encoder, Gauge, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 
 /// Upper bounds of the latency histogram buckets, in seconds.
@@ -32,6 +33,10 @@
     pub relay_bytes: IntCounterVec,
     /// Announcements of the local backend server, by the change that they caused.
     pub announcements: IntCounterVec,
+    /// Changes of what the local backend server says about itself, and unreadable statements.
+    pub statements: IntCounterVec,
+    /// Requests per second that the local backend server takes; -1 if it names no limit.
+    pub server_limit: Gauge,
     /// Dropped log lines and control events, by reason.
     pub dropped_lines: IntCounterVec,
     /// Version of the active route table.
@@ -59,6 +64,15 @@
             let gauge = IntGauge::with_opts(options(name, help));
             register(&registry, gauge.expect("the options of a gauge are valid"))
         };
+        let server_limit = Gauge::with_opts(options(
+            "server_limit",
+            "Requests per second that the server takes, -1 without a limit",
+        ));
+        let server_limit = register(
+            &registry,
+            server_limit.expect("the options of a gauge are valid"),
+        );
+        server_limit.set(-1.0);
         let seconds = HistogramOpts::new(
             "rosemaryfork_request_seconds",
             "Time until the final answer to a caller",
@@ -90,6 +104,8 @@
                 &["kind", "zone"],
             ),
             announcements: counters("announcements_total", "Announcements", &["change"]),
+            statements: counters("server_statements_total", "What the server says", &["kind"]),
+            server_limit,
             dropped_lines: counters("log_lines_dropped_total", "Lines dropped", &["reason"]),
             table_version: gauge("table_version", "Route table in force"),
             proxies: gauge("proxies", "Proxies that are reachable"),
@@ -106,6 +122,11 @@
             .inc_by(bytes);
     }
 
+    /// Counts a change of what the local backend server says about itself.
+    pub fn count_statement(&self, kind: &str) {
+        self.statements.with_label_values(&[kind]).inc();
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn encode(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -13,10 +13,11 @@
 use crate::shared::Shared;
 use async_std::future::timeout;
 use futures_lite::{AsyncWriteExt, FutureExt, future};
-use rf_base::Millis;
+use rf_base::{Millis, RequestRate};
 use rf_config::RepeatPolicy;
 use rf_protocol::Strike;
 use rf_protocol::relay::{AttemptEnd, AttemptRequest, Loss, Rejection, ServerAnswer};
+use rf_traffic::{StatedLimit, Statement};
 use rf_transport::h1::{
     Checkout, Connection, Framing, Headers, ReadError, ReadLimits, RequestHead, ResponseHead,
     frame_response,
@@ -36,6 +37,8 @@
 const ANSWER_GRACE: Millis = Millis(20);
 /// Answers to earlier requests that are skipped before the connection is closed.
 const MAX_STRAY_ANSWERS: usize = 4;
+/// HTTP status code of a process that is not the expected one.
+const MISDIRECTED: u16 = 421;
 /// Time within which a backend server that has not crashed accepts a connection.
 const CRASH_CHECK_TIMEOUT: Millis = Millis(100);
 
@@ -111,7 +114,7 @@
         }
     };
     let bytes = encode(shared, permit, attempt, left);
-    match exchange(shared, checkout, attempt, &bytes).await {
+    match exchange(shared, permit, checkout, attempt, &bytes).await {
         Ok((end, connection)) => {
             if let Some(connection) = connection {
                 shared.server_pool.put_back(address, connection);
@@ -152,6 +155,7 @@
 /// Sends the request and reads its answer; returns the connection if it can be reused.
 async fn exchange<D: Dialect>(
     shared: &Shared<D>,
+    permit: &SlotPermit,
     checkout: Checkout,
     attempt: &AttemptRequest,
     bytes: &[u8],
@@ -166,7 +170,7 @@
         }
         future::pending().await
     };
-    let reading = read_answer(shared, &mut connection, attempt);
+    let reading = read_answer(shared, permit, &mut connection, attempt);
     let (end, is_reusable) = writing.or(reading).await?;
     let is_reusable = is_reusable && is_sent.load(Ordering::Relaxed);
     Ok((end, is_reusable.then_some(connection)))
@@ -175,6 +179,7 @@
 /// Reads the answer to `attempt`; returns it, and whether the connection may be reused.
 async fn read_answer<D: Dialect>(
     shared: &Shared<D>,
+    permit: &SlotPermit,
     connection: &mut Connection,
     attempt: &AttemptRequest,
 ) -> Result<(AttemptEnd, bool), ReadError> {
@@ -203,11 +208,14 @@
         if metadata.request_id.is_none() && !metadata.is_not_run {
             return Err(unusable("answer without a request id"));
         }
+        if metadata.request_id.is_some() && head.status != MISDIRECTED {
+            observe_statement(shared, permit, attempt, &metadata.statement);
+        }
         let body = connection.read_budgeted(framing, &limits, &memory).await?;
         let is_reusable = head.is_keep_alive() && framing != Framing::UntilClose;
         if metadata.is_not_run {
             let rejection = match head.status {
-                421 => Rejection::NotHere,
+                MISDIRECTED => Rejection::NotHere,
                 _ => Rejection::Shed,
             };
             return Ok((AttemptEnd::NotRun(rejection), is_reusable));
@@ -220,6 +228,51 @@
     Err(unusable("too many stray answers"))
 }
 
+/// Applies what the backend server says about itself, and logs what is new.
+fn observe_statement<D>(
+    shared: &Shared<D>,
+    permit: &SlotPermit,
+    attempt: &AttemptRequest,
+    statement: &Statement,
+) {
+    let request = &attempt.request;
+    let instance = &permit.server().id;
+    if let StatedLimit::Unreadable(error) = &statement.limit {
+        warn!(event = "server.limit-unreadable", request, instance, error);
+        shared.metrics.count_statement("unreadable");
+    }
+    let observation = permit.observe_statement(statement);
+    if let Some((before, limit)) = observation.change.limit {
+        let (before, limit) = (per_second(before), per_second(limit));
+        info!(
+            event = "server.limit",
+            request,
+            instance,
+            before,
+            limit,
+            from = "answer"
+        );
+        shared.metrics.count_statement("limit");
+        shared.metrics.server_limit.set(limit.unwrap_or(-1.0));
+    }
+    if let Some(started) = observation.started {
+        let limit = per_second(observation.limit);
+        let span = observation.span.0;
+        info!(
+            event = "server.started-runs",
+            instance, limit, started, span
+        );
+    }
+    if observation.change.is_leaving {
+        info!(event = "server.leaving", request, instance, from = "answer");
+        shared.metrics.count_statement("leaving");
+    }
+}
+
+fn per_second(limit: Option<RequestRate>) -> Option<f64> {
+    limit.map(RequestRate::as_per_second)
+}
+
 fn unusable(message: &str) -> ReadError {
     ReadError::Malformed {
         message: message.to_owned(),
--- a/crates/proxy/tests/gate.rs
+++ b/crates/proxy/tests/gate.rs
@@ -32,6 +32,7 @@
 fn registered_server() -> LocalServer {
     LocalServer {
         id: "i-1".to_owned(),
+        started_ms: 1,
         address: ([127, 0, 0, 1], 9).into(),
         service: "payments".into(),
         version: "v1".into(),
--- a/crates/traffic/src/local_server.rs
+++ b/crates/traffic/src/local_server.rs
@@ -4,6 +4,7 @@
 //! ordered by the start time of the process and then by sequence number. A withdrawal is final for
 //! its process: no announcement with the same start time makes the daemon send requests again.
 
+use rf_base::ids::hash_key;
 use rf_base::{Millis, ServiceName, VersionName};
 use std::net::SocketAddr;
 
@@ -35,6 +36,8 @@
 pub struct LocalServer {
     /// Id of the process.
     pub id: String,
+    /// Start time of the process, in milliseconds since the Unix epoch.
+    pub started_ms: u64,
     /// Address at which the server accepts requests.
     pub address: SocketAddr,
     /// Service that the server runs.
@@ -47,6 +50,14 @@
     pub warm_at: Millis,
 }
 
+impl LocalServer {
+    /// Returns the fingerprint of the process. A process that is started again under its old id has
+    /// another one.
+    pub fn process(&self) -> u64 {
+        hash_key(format!("{} {}", self.id, self.started_ms).as_bytes())
+    }
+}
+
 /// Reason why an announcement or a withdrawal was ignored.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ignored {
@@ -145,6 +156,7 @@
         let warm_at = now + announcement.warmup_left;
         let opened = LocalServer {
             id: announcement.id.clone(),
+            started_ms: announcement.started_ms,
             address: announcement.address,
             service: announcement.service.clone(),
             version: announcement.version.clone(),
