Reproduce LIMIT and DRAIN by what a server says, on the stand-ins

Callers saw: nothing; the backend servers did. The stand-in server names limits and says that it leaves. Cause: nothing acts on either statement.

--- a/crates/standin/src/users/server.rs
+++ b/crates/standin/src/users/server.rs
@@ -101,6 +101,34 @@
     }
 }
 
+/// What the backend server says about itself in every answer.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Statements {
+    /// Values of `Server-Limit`, one header each.
+    pub limits: Vec<String>,
+    /// Whether it says that it leaves.
+    pub is_leaving: bool,
+}
+
+impl Statements {
+    /// Names one limit.
+    pub fn limit(limit: &str) -> Statements {
+        Statements {
+            limits: vec![limit.to_owned()],
+            ..Statements::default()
+        }
+    }
+
+    fn add_to(&self, head: &mut ResponseHead) {
+        for limit in &self.limits {
+            head.headers.add("Server-Limit", limit);
+        }
+        if self.is_leaving {
+            head.headers.add("Server-Leaving", "1");
+        }
+    }
+}
+
 /// A request as received by a backend server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Arrival {
@@ -132,6 +160,8 @@
     id: String,
     behaviour: ServerBehaviour,
     run_time: Millis,
+    /// Headers added to every answer.
+    statements: Statements,
     running: u32,
     most_running: u32,
     arrivals: Vec<Arrival>,
@@ -159,6 +189,7 @@
             id: id.to_owned(),
             behaviour: ServerBehaviour::default(),
             run_time: Millis(5),
+            statements: Statements::default(),
             running: 0,
             most_running: 0,
             arrivals: Vec::new(),
@@ -243,6 +274,11 @@
         self.lock().behaviour = behaviour;
     }
 
+    /// Sets what it says about itself from now on.
+    pub fn set_statements(&self, statements: Statements) {
+        self.lock().statements = statements;
+    }
+
     /// Sets the time that a run takes; 5 ms by default.
     pub fn set_run_time(&self, time: Millis) {
         self.lock().run_time = time;
@@ -290,7 +326,7 @@
                 .unwrap_or_default()
                 .to_owned();
             if self.lock().behaviour == ServerBehaviour::Early && framing != Framing::Empty {
-                let answer = make_answer(&request, &ServerBehaviour::Early);
+                let answer = self.make_answer(&request, &ServerBehaviour::Early);
                 if connection.write(&answer).await.is_err() {
                     return;
                 }
@@ -329,6 +365,8 @@
         if let Some(status) = refusal {
             let mut head = ResponseHead::new(status);
             head.headers.add("X-Rosemaryfork-Not-Executed", "1");
+            head.headers.add("X-Rosemaryfork-Request-Id", request);
+            self.lock().statements.add_to(&mut head);
             return connection.write(&head.encode(Some(0))).await.is_ok();
         }
         if let ServerBehaviour::CrashesOn(text) = &behaviour
@@ -346,7 +384,7 @@
             self.lock().arrivals[number].was_cut = true;
             return false;
         }
-        let answer = make_answer(request, &behaviour);
+        let answer = self.make_answer(request, &behaviour);
         connection.write(&answer).await.ok();
         !matches!(
             behaviour,
@@ -357,6 +395,10 @@
         )
     }
 
+    fn make_answer(&self, request: &str, behaviour: &ServerBehaviour) -> Vec<u8> {
+        make_answer(request, behaviour, &self.lock().statements)
+    }
+
     fn record_arrival(
         &self,
         request: &str,
@@ -426,13 +468,14 @@
     body
 }
 
-fn make_answer(request: &str, behaviour: &ServerBehaviour) -> Vec<u8> {
+fn make_answer(request: &str, behaviour: &ServerBehaviour, statements: &Statements) -> Vec<u8> {
     let status = match behaviour {
         ServerBehaviour::Fails => 500,
         _ => 200,
     };
     let mut head = ResponseHead::new(status);
     head.headers.add("X-Rosemaryfork-Request-Id", request);
+    statements.add_to(&mut head);
     if *behaviour != ServerBehaviour::Unsigned {
         head.headers.add("X-Rosemaryfork-Response-Signature", "s.1");
     }
