Keep the limit that a backend server names, at its gate

Cause: no proxy acted on `Server-Limit`. A gate bounds how many requests run at once; a server that answers fast and names a low limit got what its slots pass. Class: a statement of a server about itself that nothing reads, where the bound is for all machines. Change: the gate beside the server, which all its requests pass, starts no more than the limit allows (generic cell rate algorithm, r * (t + 0.5 s) + 1 in any t); waiting requests keep their order, and are refused at once with the time until there is room. Replies report the wait, and placement counts it, so that requests go to servers with room. Each reply tells what the server said and each attempt repeats it, so a restarted proxy knows the limit from the first attempt. A lower limit holds at once; only an answer to a run that began after the last naming raises or ends one. At any rate one run starts every 2 s, or a limit of zero would never end. Why it works: one process sees every request of the server, so the sum over machines needs no estimate.

--- a/crates/protocol/src/relay.rs
+++ b/crates/protocol/src/relay.rs
@@ -57,6 +57,10 @@
     /// receiver asks for it; zero if the payload holds the body.
     #[serde(rename = "body")]
     pub body_bytes: u64,
+    /// What the sender was last told that the backend server has said about itself. The receiver
+    /// may have restarted since.
+    #[serde(default)]
+    pub condition: Option<ServerCondition>,
 }
 
 impl AttemptTerms {
@@ -129,6 +133,12 @@
     /// Average time of a run of the route that the report was made for.
     #[serde(rename = "run")]
     pub route_run: Millis,
+    /// Time until its rate limit allows one more run after those that wait; zero without a limit.
+    #[serde(default)]
+    pub rate_wait: Millis,
+    /// What it has said about itself; `None` if nothing.
+    #[serde(default)]
+    pub condition: Option<ServerCondition>,
 }
 
 /// Complete HTTP response of a backend server.
--- a/crates/proxy/src/admin.rs
+++ b/crates/proxy/src/admin.rs
@@ -1,13 +1,13 @@
 //! Serves the platform's probes and the announcements of the local backend server.
 
-use crate::control::Event;
 use crate::dialect::{AdminCall, Dialect};
 use crate::listener::accept;
+use crate::local;
 use crate::shared::Shared;
 use async_std::net::TcpListener;
-use rf_traffic::local_server::{Change, LocalServerState};
+use rf_traffic::local_server::Change;
 use rf_transport::h1::{Connection, ReadLimits, ResponseHead, frame_request};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use tracing::{debug, info, warn};
 
 /// Maximum concurrent connections; the only clients are the probe and one backend server.
@@ -15,26 +15,15 @@
 /// Maximum body length of a call, in bytes.
 const MAX_BODY: usize = 64 * 1024;
 
-/// Announced state of the local backend server, shared between the listeners.
-pub type SharedServerState = Arc<Mutex<LocalServerState>>;
-
 /// Serves admin calls until the task is dropped.
-pub async fn serve<D: Dialect>(
-    shared: Arc<Shared<D>>,
-    server_state: SharedServerState,
-    listener: TcpListener,
-) {
+pub async fn serve<D: Dialect>(shared: Arc<Shared<D>>, listener: TcpListener) {
     accept(listener, MAX_CONNECTIONS, move |connection| {
-        serve_connection(shared.clone(), server_state.clone(), connection)
+        serve_connection(shared.clone(), connection)
     })
     .await;
 }
 
-async fn serve_connection<D: Dialect>(
-    shared: Arc<Shared<D>>,
-    server_state: SharedServerState,
-    mut connection: Connection,
-) {
+async fn serve_connection<D: Dialect>(shared: Arc<Shared<D>>, mut connection: Connection) {
     let limits = ReadLimits {
         body: MAX_BODY,
         ..ReadLimits::default()
@@ -50,7 +39,7 @@
             return;
         };
         let call = shared.dialect.read_admin_call(&head, &body);
-        let (status, body) = answer(&shared, &server_state, call);
+        let (status, body) = answer(&shared, call);
         let mut response = ResponseHead::new(status);
         if !body.is_empty() {
             response.headers.add("Content-Type", "text/plain");
@@ -63,18 +52,14 @@
     }
 }
 
-fn answer<D: Dialect>(
-    shared: &Shared<D>,
-    server_state: &SharedServerState,
-    call: AdminCall,
-) -> (u16, Vec<u8>) {
+fn answer<D: Dialect>(shared: &Shared<D>, call: AdminCall) -> (u16, Vec<u8>) {
     match call {
         AdminCall::Readiness => (readiness(shared), Vec::new()),
         AdminCall::Metrics => (200, shared.metrics.encode()),
         AdminCall::Announce(announcement) => {
-            let mut server_state = lock_state(server_state);
+            let mut server_state = shared.local_server();
             let change = server_state.announce(shared.now(), &announcement);
-            apply(shared, &server_state, change);
+            local::apply(shared, &server_state, change);
             let (id, seq, started_ms) =
                 (&announcement.id, announcement.seq, announcement.started_ms);
             let is_ready = announcement.is_ready;
@@ -92,9 +77,9 @@
             (200, Vec::new())
         }
         AdminCall::Withdraw { id, started_at } => {
-            let mut server_state = lock_state(server_state);
+            let mut server_state = shared.local_server();
             let change = server_state.withdraw(shared.now(), &id, started_at);
-            apply(shared, &server_state, change);
+            local::apply(shared, &server_state, change);
             info!(event = "server.withdrawn", id, born = started_at, ?change);
             (200, Vec::new())
         }
@@ -112,34 +97,7 @@
     if is_ready { 200 } else { 503 }
 }
 
-/// Opens or closes the gate. Runs before the announcement is acknowledged, so a server that
-/// reported its departure gets no new requests once it has the acknowledgement.
-fn apply<D>(shared: &Shared<D>, server_state: &LocalServerState, change: Change) {
-    let name = match change {
-        Change::Same => "same",
-        Change::Opened => "opened",
-        Change::Closed => "closed",
-        Change::Ignored(_) => "ignored",
-    };
-    count_announcement(shared, name);
-    match (change, server_state.server()) {
-        (Change::Opened, Some(server)) => {
-            shared.gate.open(server);
-            shared.send_event(Event::ServerChanged(Some(server.clone())));
-        }
-        (Change::Closed, _) => {
-            shared.gate.close();
-            shared.send_event(Event::ServerChanged(None));
-        }
-        _ => {}
-    }
-}
-
 fn count_announcement<D>(shared: &Shared<D>, change: &str) {
     let announcements = &shared.metrics.announcements;
     announcements.with_label_values(&[change]).inc();
 }
-
-fn lock_state(server_state: &SharedServerState) -> std::sync::MutexGuard<'_, LocalServerState> {
-    server_state.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -11,7 +11,7 @@
 use crate::shared::Shared;
 use crate::trials::TrialSide;
 use crate::view::{ServiceView, Target};
-use crate::{relay, run};
+use crate::{local, relay, run};
 use rf_base::ids::hash_key;
 use rf_base::{InstanceId, Millis, ServiceName, Verdict};
 use rf_config::PathRoute;
@@ -330,6 +330,11 @@
             }
             false => relay::send_attempt(shared, target, &self.route.name, attempt).await,
         };
+        if let Some(report) = &report {
+            let condition = report.load.condition;
+            let mut told = shared.told_conditions();
+            told.observe(shared.now(), target.instance, condition);
+        }
         in_flight.end = to_offer_end(&end);
         in_flight.report = report;
         end
@@ -384,6 +389,7 @@
                 max_wait,
                 answer_bytes: shared.usual_answer_bytes(&self.route.name) as u64,
                 body_bytes: 0,
+                condition: shared.told_conditions().get(target.instance),
             },
             service: self.service.clone(),
             version: target.version.clone(),
@@ -473,6 +479,7 @@
 
 async fn run_locally<D: Dialect>(shared: &Arc<Shared<D>>, attempt: &AttemptRequest) -> AttemptEnd {
     let start = shared.now();
+    local::adopt_condition(shared, attempt);
     match shared.gate.acquire(attempt).await {
         Ok(permit) => {
             let waited = shared.now().since(start);
--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -9,6 +9,7 @@
 mod guards;
 
 use async_channel::{Sender, bounded};
+use async_std::task;
 use guards::SlotWait;
 pub use guards::{BodyReservation, PendingGuard, PendingReply};
 use rf_base::{
@@ -17,7 +18,8 @@
 use rf_config::{Mechanisms, RepeatPolicy};
 use rf_protocol::AttemptHeader;
 use rf_protocol::relay::{
-    AttemptEnd, AttemptKey, AttemptRequest, AttemptTerms, LedgerAnswer, LoadReport, Loss, Rejection,
+    AttemptEnd, AttemptKey, AttemptRequest, AttemptTerms, LedgerAnswer, LoadReport, Loss,
+    Rejection, ServerCondition,
 };
 use rf_traffic::admission::{Queue, QueueSettings, SlotDecision, SlotRequest, WaitId, Wakeups};
 use rf_traffic::{
@@ -68,6 +70,8 @@
     chains: ChainAdmission,
     cold_limiter: ColdLimiter,
     condition: ConditionTracker,
+    /// Whether a task will grant slots once the rate limit allows it.
+    is_pacing: bool,
     /// Runs begun since the last report on the limit of the backend server, and its time.
     started: (u32, Millis),
     random: SeededRandom,
@@ -183,6 +187,7 @@
             chains: ChainAdmission::new(chains),
             cold_limiter: ColdLimiter::default(),
             condition: ConditionTracker::default(),
+            is_pacing: false,
             started: (0, Millis::ZERO),
             random,
             server: None,
@@ -204,9 +209,11 @@
         inner.server = Some(server.clone());
         if inner.condition.set_process(server.process()) {
             inner.started = (0, now);
+            let wakeups = inner.queue.set_rate(now, None);
+            inner.wake(now, wakeups);
         }
         let wakeups = inner.queue.resize(now, server.slots);
-        inner.wake(wakeups);
+        inner.wake(now, wakeups);
     }
 
     /// Sets how many requests a second may start while the backend server is cold; `None` removes
@@ -239,6 +246,8 @@
             slots: inner.queue.slots(),
             mean_run: inner.queue.average_run(),
             route_run: inner.queue.average_run_of(route),
+            rate_wait: inner.queue.rate_wait(self.clock.now()),
+            condition: inner.condition.condition(),
         }
     }
 
@@ -292,7 +301,11 @@
             match inner.queue.request(now, slot_request, terms.max_wait) {
                 SlotDecision::Run => return self.begin_attempt(&mut inner, attempt),
                 SlotDecision::Refuse(slot_wait) => return Err(Rejection::Busy(slot_wait)),
-                SlotDecision::Wait(wait_id) => self.add_waiter(&mut inner, attempt.key.id, wait_id),
+                SlotDecision::Wait(wait_id) => {
+                    let waiter = self.add_waiter(&mut inner, attempt.key.id, wait_id);
+                    self.pace(now, &mut inner);
+                    waiter
+                }
             }
         };
         let waited = waiting.finish(terms.max_wait.min(terms.time_left)).await;
@@ -303,18 +316,55 @@
         match checked.and_then(|()| inner.check_cold_rate(now)) {
             Ok(()) => self.begin_attempt(&mut inner, attempt),
             Err(rejection) => {
-                inner.release(self.clock.now(), None);
+                self.release(now, &mut inner, None);
                 Err(rejection)
             }
         }
     }
 
+    /// Returns a slot; `run` is the route and duration of a measured run.
+    fn release(&self, now: Millis, inner: &mut Inner, run: Option<(u64, Millis)>) {
+        let wakeups = inner.queue.release(now, run);
+        inner.wake(now, wakeups);
+        self.pace(now, inner);
+    }
+
+    /// Makes sure that a request that waits for the rate limit alone gets its slot in time.
+    fn pace(&self, now: Millis, inner: &mut Inner) {
+        if inner.is_pacing {
+            return;
+        }
+        let Some(wait) = inner.queue.next_start(now) else {
+            return;
+        };
+        inner.is_pacing = true;
+        let gate = self.clone();
+        task::spawn(async move {
+            task::sleep(wait.max(Millis(1)).duration()).await;
+            let now = gate.clock.now();
+            let mut inner = gate.lock();
+            inner.is_pacing = false;
+            let wakeups = inner.queue.poll(now);
+            inner.wake(now, wakeups);
+            gate.pace(now, &mut inner);
+        });
+    }
+
+    /// Adopts what another proxy was told about the local backend server.
+    pub fn adopt_condition(&self, told: &ServerCondition) -> ConditionChange {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        let change = inner.condition.adopt(now, told);
+        inner.apply_limit(now, change);
+        change
+    }
+
     /// Turns `Expired` into `Busy` where only the wait limit of this gate has passed and the
     /// request itself has time left.
     fn reclassify_expiry(&self, rejection: Rejection, attempt: &AttemptRequest) -> Rejection {
         match rejection {
             Rejection::Expired if attempt.terms.max_wait < attempt.terms.time_left => {
-                Rejection::Busy(self.lock().queue.time_to_slot())
+                Rejection::Busy(self.lock().queue.time_to_slot(self.clock.now()))
             }
             other => other,
         }
@@ -364,7 +414,7 @@
             .queue
             .would_admit(now, &slot_request, max_wait, inner.incoming_bodies)
         {
-            return Err(Rejection::Busy(inner.queue.time_to_slot()));
+            return Err(Rejection::Busy(inner.queue.time_to_slot(now)));
         }
         inner.incoming_bodies += 1;
         Ok(BodyReservation { gate: self.clone() })
@@ -434,7 +484,7 @@
                 if begun == BeginResult::Run {
                     inner.ledger.revoke(attempt.key.id);
                 }
-                inner.release(now, None);
+                self.release(now, inner, None);
                 Err(match begun {
                     BeginResult::Run => Rejection::NotHere,
                     BeginResult::Expired => Rejection::Expired,
@@ -500,12 +550,20 @@
         }
     }
 
+    fn apply_limit(&mut self, now: Millis, change: ConditionChange) {
+        if let Some((_, limit)) = change.limit {
+            let wakeups = self.queue.set_rate(now, limit);
+            self.wake(now, wakeups);
+        }
+    }
+
     /// Applies what the process of `permit` said in its answer.
     fn observe(&mut self, now: Millis, permit: &SlotPermit, statement: &Statement) -> Observation {
         let process = permit.server.process();
         let change = self
             .condition
             .observe(now, process, permit.start, statement);
+        self.apply_limit(now, change);
         let (started, since) = self.started;
         let span = now.since(since);
         let is_due = span >= LIMIT_REPORT_INTERVAL || change.limit.is_some();
@@ -552,12 +610,7 @@
         self.requests.remove(&permit.request);
     }
 
-    fn release(&mut self, now: Millis, run: Option<(u64, Millis)>) {
-        let wakeups = self.queue.release(now, run);
-        self.wake(wakeups);
-    }
-
-    fn wake(&mut self, wakeups: Wakeups) {
+    fn wake(&mut self, now: Millis, wakeups: Wakeups) {
         for wait_id in wakeups.granted {
             self.answer(wait_id, Ok(()));
         }
@@ -565,7 +618,7 @@
             self.answer(wait_id, Err(Rejection::Expired));
         }
         for wait_id in wakeups.yielded {
-            self.answer(wait_id, Err(Rejection::Busy(self.queue.time_to_slot())));
+            self.answer(wait_id, Err(Rejection::Busy(self.queue.time_to_slot(now))));
         }
     }
 
@@ -596,7 +649,10 @@
     /// Applies what the backend server says about itself in its answer.
     pub fn observe_statement(&self, statement: &Statement) -> Observation {
         let now = self.gate.clock.now();
-        self.gate.lock().observe(now, self, statement)
+        let mut inner = self.gate.lock();
+        let observation = inner.observe(now, self, statement);
+        self.gate.pace(now, &mut inner);
+        observation
     }
 
     /// Returns the time since the slot was acquired.
@@ -635,6 +691,7 @@
             LedgerRecord::Ran => inner.ledger.finish(now, self.key.id, None),
             LedgerRecord::Kept(end) => inner.ledger.finish(now, self.key.id, Some(end)),
         }
-        inner.release(now, self.is_measured.then_some((self.route, span)));
+        let run = self.is_measured.then_some((self.route, span));
+        self.gate.release(now, &mut inner, run);
     }
 }
--- a/crates/proxy/src/gate/guards.rs
+++ b/crates/proxy/src/gate/guards.rs
@@ -81,7 +81,7 @@
             inner.waiters.remove(&self.wait_id);
         } else if self.receiver.try_recv() == Ok(Ok(())) {
             let now = self.gate.clock.now();
-            inner.release(now, None);
+            self.gate.release(now, &mut inner, None);
         }
     }
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod gate;
 pub mod ingress;
 pub mod listener;
+pub mod local;
 pub mod metrics;
 pub mod peers;
 pub mod process;
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -7,7 +7,7 @@
 use crate::relay::{self, message_limits};
 use crate::sending::LONG_ANSWER;
 use crate::shared::Shared;
-use crate::{compression, run};
+use crate::{compression, local, run};
 use async_channel::bounded;
 use async_std::future::timeout;
 use async_std::net::TcpListener;
@@ -214,6 +214,7 @@
     mut attempt: AttemptRequest,
 ) -> Option<Answer> {
     let start = shared.now();
+    local::adopt_condition(shared, &attempt);
     let unsent = shared.gate.begin_reply(attempt.key.id);
     let admitted = match admit(shared, &attempt) {
         Ok(reservation) => {
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -16,10 +16,9 @@
 use rf_base::ids::hash_key;
 use rf_base::{Clock, Incarnation, InstanceId, Millis, SeededRandom};
 use rf_config::ProxySettings;
-use rf_traffic::LocalServerState;
 use snafu::{ResultExt, Snafu};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use tracing::{info, warn};
 
 /// Maximum number of events that wait for the control thread.
@@ -109,9 +108,6 @@
             relay: listen.advertised_relay(),
             incarnation,
         };
-        let server_state =
-            LocalServerState::new(settings.server.service.clone(), settings.server.address);
-        let server_state = Arc::new(Mutex::new(server_state));
         let (events, inbox) = bounded(EVENT_QUEUE);
         let shared = Shared::new(
             dialect,
@@ -129,7 +125,7 @@
         task::spawn(ingress::serve(shared.clone(), callers));
         task::spawn(peers::serve(shared.clone(), relay));
         for listener in [readiness, announcements] {
-            task::spawn(admin::serve(shared.clone(), server_state.clone(), listener));
+            task::spawn(admin::serve(shared.clone(), listener));
         }
         info!(
             event = "process.started",
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -10,14 +10,14 @@
 use crate::dialect::Dialect;
 use crate::dispatch::describe;
 use crate::gate::SlotPermit;
+use crate::local;
 use crate::shared::Shared;
 use async_std::future::timeout;
 use futures_lite::{AsyncWriteExt, FutureExt, future};
-use rf_base::{Millis, RequestRate};
+use rf_base::Millis;
 use rf_config::RepeatPolicy;
 use rf_protocol::Strike;
 use rf_protocol::relay::{AttemptEnd, AttemptRequest, Loss, Rejection, ServerAnswer};
-use rf_traffic::{StatedLimit, Statement};
 use rf_transport::h1::{
     Checkout, Connection, Framing, Headers, ReadError, ReadLimits, RequestHead, ResponseHead,
     frame_response,
@@ -209,7 +209,7 @@
             return Err(unusable("answer without a request id"));
         }
         if metadata.request_id.is_some() && head.status != MISDIRECTED {
-            observe_statement(shared, permit, attempt, &metadata.statement);
+            local::observe_statement(shared, permit, attempt, &metadata.statement);
         }
         let body = connection.read_budgeted(framing, &limits, &memory).await?;
         let is_reusable = head.is_keep_alive() && framing != Framing::UntilClose;
@@ -228,51 +228,6 @@
     Err(unusable("too many stray answers"))
 }
 
-/// Applies what the backend server says about itself, and logs what is new.
-fn observe_statement<D>(
-    shared: &Shared<D>,
-    permit: &SlotPermit,
-    attempt: &AttemptRequest,
-    statement: &Statement,
-) {
-    let request = &attempt.request;
-    let instance = &permit.server().id;
-    if let StatedLimit::Unreadable(error) = &statement.limit {
-        warn!(event = "server.limit-unreadable", request, instance, error);
-        shared.metrics.count_statement("unreadable");
-    }
-    let observation = permit.observe_statement(statement);
-    if let Some((before, limit)) = observation.change.limit {
-        let (before, limit) = (per_second(before), per_second(limit));
-        info!(
-            event = "server.limit",
-            request,
-            instance,
-            before,
-            limit,
-            from = "answer"
-        );
-        shared.metrics.count_statement("limit");
-        shared.metrics.server_limit.set(limit.unwrap_or(-1.0));
-    }
-    if let Some(started) = observation.started {
-        let limit = per_second(observation.limit);
-        let span = observation.span.0;
-        info!(
-            event = "server.started-runs",
-            instance, limit, started, span
-        );
-    }
-    if observation.change.is_leaving {
-        info!(event = "server.leaving", request, instance, from = "answer");
-        shared.metrics.count_statement("leaving");
-    }
-}
-
-fn per_second(limit: Option<RequestRate>) -> Option<f64> {
-    limit.map(RequestRate::as_per_second)
-}
-
 fn unusable(message: &str) -> ReadError {
     ReadError::Malformed {
         message: message.to_owned(),
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -13,7 +13,8 @@
 use rf_config::ProxySettings;
 use rf_traffic::placement::PlacementSettings;
 use rf_traffic::{
-    CallerAges, DelayTimes, Link, Placement, RetryBudget, RetryDelays, StrikeTable, WeightedSplit,
+    CallerAges, DelayTimes, Link, LocalServerState, Placement, RetryBudget, RetryDelays,
+    StrikeTable, ToldConditions, WeightedSplit,
 };
 use rf_transport::h1::{ByteBudget, Pool, PoolSettings};
 use std::collections::BTreeMap;
@@ -81,6 +82,8 @@
     served_requests: Arc<Mutex<RetryDelays>>,
     caller_ages: Mutex<CallerAges>,
     trials: Mutex<crate::trials::TrialStats>,
+    told_conditions: Mutex<ToldConditions>,
+    local_server: Mutex<LocalServerState>,
     answer_sizes: Mutex<BTreeMap<String, f64>>,
     random: Mutex<SeededRandom>,
     events: Sender<Event>,
@@ -107,6 +110,8 @@
             false => RetryDelays::without_history(),
         };
         let served_requests = Arc::new(Mutex::new(served_requests));
+        let local_server =
+            LocalServerState::new(settings.server.service.clone(), settings.server.address);
         let placement = PlacementSettings {
             prefer_near: mechanisms.prefer_near,
             decay_reports: mechanisms.decay_reports,
@@ -152,6 +157,8 @@
             served_requests,
             caller_ages: Mutex::default(),
             trials: Mutex::default(),
+            told_conditions: Mutex::default(),
+            local_server: Mutex::new(local_server),
             answer_sizes: Mutex::default(),
             random: Mutex::new(fork()),
             settings: ArcSwap::from_pointee(settings),
@@ -182,6 +189,16 @@
         lock(&self.trials)
     }
 
+    /// Locks and returns what the backend servers of other instances have said about themselves.
+    pub fn told_conditions(&self) -> MutexGuard<'_, ToldConditions> {
+        lock(&self.told_conditions)
+    }
+
+    /// Locks and returns the announced state of the local backend server.
+    pub fn local_server(&self) -> MutexGuard<'_, LocalServerState> {
+        lock(&self.local_server)
+    }
+
     /// Runs `change` on the retry budget of a service, adjusted to the current settings and number
     /// of proxies.
     pub fn with_budget<T>(
--- a/crates/proxy/tests/gate.rs
+++ b/crates/proxy/tests/gate.rs
@@ -59,6 +59,7 @@
             max_wait: Millis(max_wait),
             answer_bytes: 0,
             body_bytes: 60_000,
+            condition: None,
         },
         service: "payments".into(),
         version: "v1".into(),
--- a/crates/standin/src/model/policy.rs
+++ b/crates/standin/src/model/policy.rs
@@ -159,7 +159,7 @@
     fn load(&self) -> (u32, u32, Millis);
 
     /// Returns the time until a slot is expected to be free for one more request.
-    fn slot_wait(&self) -> Millis;
+    fn slot_wait(&self, now: Millis) -> Millis;
 }
 
 /// The product's queue: urgent requests go first, late and best-effort ones last, and requests with
@@ -186,8 +186,8 @@
         (self.running(), self.waiting(), self.average_run())
     }
 
-    fn slot_wait(&self) -> Millis {
-        Queue::time_to_slot(self)
+    fn slot_wait(&self, now: Millis) -> Millis {
+        Queue::time_to_slot(self, now)
     }
 }
 
@@ -288,7 +288,7 @@
         (self.running, self.entries.len() as u32, self.average_run)
     }
 
-    fn slot_wait(&self) -> Millis {
+    fn slot_wait(&self, _now: Millis) -> Millis {
         let position = self.entries.len() as u64 + 1;
         Millis(position * self.average_run.0 / u64::from(self.slots.max(1)))
     }
--- a/crates/standin/src/model/world.rs
+++ b/crates/standin/src/model/world.rs
@@ -377,7 +377,7 @@
         let Some(number) = state.waiting.remove(&wait_id) else {
             return;
         };
-        let slot_wait = state.queue.slot_wait();
+        let slot_wait = state.queue.slot_wait(self.now);
         let end = AttemptEnd::NotRun(Rejection::Busy(slot_wait));
         self.schedule(self.now + LINK_DELAY, Event::Reply(number, server, end));
     }
@@ -392,6 +392,7 @@
                 slots: self.scenario.slots,
                 mean_run: average_run,
                 route_run: average_run,
+                ..LoadReport::default()
             },
             transit: Millis(LINK_DELAY.0 * 2),
         };
--- a/crates/traffic/src/admission.rs
+++ b/crates/traffic/src/admission.rs
@@ -25,11 +25,16 @@
 //!   hold a slot that an answer in time needs. Once no such refusal has happened for the time of a
 //!   run, late requests use the remaining slots.
 //!
+//! - A backend server that names a limit on the requests per second that it takes: requests wait
+//!   for the rate in the same order as for a slot, and are refused at once if the wait would be too
+//!   long. The owner of the queue calls [`Queue::poll`] when [`Queue::next_start`] has passed.
+//!
 //! Invariants: `running` exceeds `slots` only after the slots were reduced, and no request waits
-//! while a slot is free.
+//! while a slot is free and the rate limit allows a run.
 
+use crate::StartLimiter;
 use crate::recent::RecentRoutes;
-use rf_base::Millis;
+use rf_base::{Millis, RequestRate};
 use std::collections::BTreeMap;
 
 /// Inverse weight of the newest run in the average run time.
@@ -103,6 +108,7 @@
     average_run: Option<f64>,
     /// Average run time of each route, in milliseconds.
     routes: RecentRoutes<Option<f64>>,
+    limiter: StartLimiter,
     /// Time of the last refusal of a request that could have met its target.
     timely_refused_at: Option<Millis>,
     settings: QueueSettings,
@@ -141,6 +147,7 @@
             last_id: 0,
             average_run: None,
             routes: RecentRoutes::new(MAX_ROUTES),
+            limiter: StartLimiter::default(),
             timely_refused_at: None,
             settings,
         }
@@ -152,16 +159,39 @@
         self.grant(now)
     }
 
+    /// Changes how many runs may start in a second; `None` removes the limit.
+    pub fn set_rate(&mut self, now: Millis, rate: Option<RequestRate>) -> Wakeups {
+        self.limiter.set_rate(now, rate);
+        self.grant(now)
+    }
+
+    /// Returns the time until the rate limit allows one more run after those that wait.
+    pub fn rate_wait(&self, now: Millis) -> Millis {
+        self.limiter.wait(now, self.waiting())
+    }
+
+    /// Returns the time until a waiting request may run in a slot that is free already, or `None`
+    /// if none waits for the rate limit alone.
+    pub fn next_start(&self, now: Millis) -> Option<Millis> {
+        let is_paced = !self.waiting.is_empty() && self.running < self.slots;
+        is_paced.then(|| self.limiter.wait(now, 0))
+    }
+
+    /// Grants the slots that the rate limit allows by now.
+    pub fn poll(&mut self, now: Millis) -> Wakeups {
+        self.grant(now)
+    }
+
     /// Requests a slot, waiting up to `max_wait` for it.
     pub fn request(&mut self, now: Millis, request: SlotRequest, max_wait: Millis) -> SlotDecision {
         if !self.would_admit(now, &request, max_wait, 0) {
             if !self.is_late(now, &request) {
                 self.timely_refused_at = Some(now);
             }
-            return SlotDecision::Refuse(self.time_to_slot());
+            return SlotDecision::Refuse(self.time_to_slot(now));
         }
-        if self.running < self.slots {
-            self.running += 1;
+        if self.is_free(now, 0) {
+            self.start(now);
             return SlotDecision::Run;
         }
         self.last_id += 1;
@@ -182,13 +212,29 @@
         if self.yields(now, request) {
             return false;
         }
-        if self.running + upcoming < self.slots {
+        if self.is_free(now, upcoming) {
             return true;
         }
         let wait = self.expected_wait(now, request, upcoming);
         self.slots > 0 && wait <= max_wait && now + wait < request.expires
     }
 
+    /// Returns whether a request may run now, after `upcoming` others.
+    fn is_free(&self, now: Millis, upcoming: u32) -> bool {
+        let has_slot = self.running + upcoming < self.slots;
+        has_slot && self.waiting.is_empty() && self.limiter.wait(now, upcoming) == Millis::ZERO
+    }
+
+    /// Returns whether one more run may start now.
+    fn has_room(&self, now: Millis) -> bool {
+        self.running < self.slots && self.limiter.wait(now, 0) == Millis::ZERO
+    }
+
+    fn start(&mut self, now: Millis) {
+        self.running += 1;
+        self.limiter.begin(now);
+    }
+
     /// Releases a slot.
     ///
     /// `run` is the route and duration of the run that held it, or `None` if its duration says
@@ -258,13 +304,20 @@
 
     fn expected_wait(&self, now: Millis, request: &SlotRequest, upcoming: u32) -> Millis {
         let rank = self.rank(now, request);
-        let ahead = self.waiting.values().filter(|w| self.rank(now, w) <= rank);
-        Millis(self.drain_time(ahead, upcoming) as u64)
+        let is_ahead = |w: &&SlotRequest| self.rank(now, w) <= rank;
+        let ahead = upcoming + self.waiting.values().filter(is_ahead).count() as u32;
+        let slot_wait = match self.running + ahead < self.slots {
+            true => 0.0,
+            false => self.drain_time(self.waiting.values().filter(is_ahead), upcoming),
+        };
+        Millis(slot_wait as u64).max(self.limiter.wait(now, ahead))
     }
 
-    /// Returns the time until a slot is expected to be free for one more request.
-    pub fn time_to_slot(&self) -> Millis {
-        Millis(self.drain_time(self.waiting.values(), 0).max(1.0) as u64)
+    /// Returns the time until a slot is expected to be free for one more request, and the rate
+    /// limit to allow it.
+    pub fn time_to_slot(&self, now: Millis) -> Millis {
+        let slot_wait = self.drain_time(self.waiting.values(), 0).max(1.0);
+        Millis(slot_wait as u64).max(self.rate_wait(now))
     }
 
     /// Returns the expected time until a slot is free after the requests in `ahead` and another
@@ -314,7 +367,7 @@
         for id in &wakeups.yielded {
             self.waiting.remove(id);
         }
-        while self.running < self.slots {
+        while self.has_room(now) {
             let first = self
                 .waiting
                 .iter()
@@ -323,10 +376,10 @@
                 break;
             };
             self.waiting.remove(&id);
-            self.running += 1;
+            self.start(now);
             wakeups.granted.push(id);
         }
-        debug_assert!(self.waiting.is_empty() || self.running >= self.slots);
+        debug_assert!(self.waiting.is_empty() || !self.has_room(now));
         wakeups
     }
 }
--- a/crates/traffic/src/placement.rs
+++ b/crates/traffic/src/placement.rs
@@ -22,6 +22,8 @@
 //!   that the load is not concentrated on a few servers.
 //! - A server behind a slow link or on an overloaded instance: the time that offers spend outside
 //!   its gate is added to its score.
+//! - A server that names a limit on its requests per second: its gate reports the wait for the limit,
+//!   which the score includes, so that requests go to servers with room.
 //! - An unreachable server: it is ejected for a time that doubles with each failure, unless every
 //!   candidate is ejected.
 
@@ -50,6 +52,8 @@
 /// Number of random candidates compared per offer, in each of the two groups: the local zone and
 /// all other zones.
 const SAMPLE_SIZE: usize = 2;
+/// Longest time assumed between two runs at a server that names a low limit, in milliseconds.
+const MAX_INTERVAL_MS: f64 = 2000.0;
 /// Maximum random increase of a score, as a fraction of the score.
 const MAX_JITTER: f64 = 0.1;
 /// Duration of the first ejection of an unreachable server.
@@ -313,11 +317,25 @@
         }
     }
 
-    /// Returns the expected wait for a slot, in milliseconds.
+    /// Returns the expected wait for a slot and for the rate limit, in milliseconds.
     fn expected_wait(&self, now: Millis, candidate: &Candidate, run_time: f64) -> f64 {
         let slots = f64::from(candidate.slots.max(1));
         let ahead = self.occupancy(now, candidate.instance) + 1.0 - slots;
-        ahead.max(0.0) * run_time / slots
+        let slot_wait = ahead.max(0.0) * run_time / slots;
+        slot_wait.max(self.rate_wait(now, candidate.instance))
+    }
+
+    /// Returns the expected wait for the rate limit that a server has named, in milliseconds.
+    fn rate_wait(&self, now: Millis, instance: InstanceId) -> f64 {
+        let load = self.loads.get(&instance);
+        let limit = load.and_then(|l| Some((l, l.report.condition?.limit?)));
+        let Some((load, limit)) = limit else {
+            return 0.0;
+        };
+        let reported = load.report.rate_wait.since(now.since(load.reported_at));
+        let sent_since = load.sent_since.min(load.in_flight);
+        let interval = limit.interval_ms().min(MAX_INTERVAL_MS);
+        reported.0 as f64 + f64::from(sent_since) * interval
     }
 
     /// Returns the estimated number of requests that run or wait at a server.
--- a/crates/traffic/tests/admission.rs
+++ b/crates/traffic/tests/admission.rs
@@ -187,10 +187,10 @@
     assert_eq!(queue.average_run_of(ROUTE), Millis(40));
     assert_eq!(queue.average_run_of(LONG), Millis(210));
     queue.request(Millis(0), slot_request(1, 1000, 9000), LONG_WAIT);
-    let first_wait = queue.time_to_slot();
+    let first_wait = queue.time_to_slot(Millis(0));
     for _ in 0..5 {
         wait(&mut queue, 0, slot_request(1, 1000, 9000));
     }
     // Five short calls of 40 ms are waiting; the long runs do not count.
-    assert_eq!(queue.time_to_slot(), first_wait + Millis(200));
+    assert_eq!(queue.time_to_slot(Millis(0)), first_wait + Millis(200));
 }
--- a/crates/traffic/tests/placement.rs
+++ b/crates/traffic/tests/placement.rs
@@ -31,6 +31,7 @@
         slots: 4,
         mean_run: Millis(run_time),
         route_run: Millis(run_time),
+        ..LoadReport::default()
     };
     Some(OfferReport {
         route: ROUTE,
