Take a backend server that says it leaves out of use

A server that answered with `Server-Leaving` kept getting half of all requests (DRAIN by its own word); callers saw nothing. Cause: as for the limit, nothing read what the server says in its answers; only its heartbeats counted, which may be late or lost. Ruled out: a late heartbeat that opens the gate again is ignored already, but only after the platform's word. Change: the answer closes the gate for that process as a withdrawal does, for good, and tells the other proxies; an attempt whose sender was told closes a gate whose proxy has restarted since. The announced state of the server is part of the shared state, as answers change it too. A process started again under its old id counts as another one. Why it works: the gate is the only path to the server, and the process, not the address, is what left.

--- a/crates/proxy/src/local.rs
+++ b/crates/proxy/src/local.rs
@@ -82,8 +82,11 @@
         shared.metrics.server_limit.set(limit.unwrap_or(-1.0));
     }
     if change.is_leaving {
-        info!(event = "server.leaving", request, process, from);
+        let mut state = shared.local_server();
+        let closed = state.leave(process);
+        info!(event = "server.leaving", request, process, from, change = ?closed);
         shared.metrics.count_statement("leaving");
+        apply(shared, &state, closed);
     }
 }
 
--- a/crates/proxy/tests/gate.rs
+++ b/crates/proxy/tests/gate.rs
@@ -1,13 +1,15 @@
 //! The admission gate of a backend server: slots, incoming bodies, ledger queries and rate limits.
 
-use rf_base::{AttemptId, Clock, ConfigVersion, Incarnation, InstanceId, Millis, SeededRandom};
+use rf_base::{
+    AttemptId, Clock, ConfigVersion, Incarnation, InstanceId, Millis, RequestRate, SeededRandom,
+};
 use rf_config::{Mechanisms, RepeatPolicy};
 use rf_protocol::relay::{
     AttemptEnd, AttemptKey, AttemptRequest, AttemptTerms, LedgerAnswer, Payload, Rejection,
-    ServerAnswer,
+    ServerAnswer, ServerCondition,
 };
 use rf_proxy::gate::{CallEnd, Gate};
-use rf_traffic::LocalServer;
+use rf_traffic::{ConditionChange, LocalServer};
 use std::sync::Arc;
 
 const THIS_INSTANCE: InstanceId = InstanceId(1);
@@ -171,3 +173,43 @@
     });
     assert!(matches!(run(10), Err(Rejection::Busy(_))));
 }
+
+#[test]
+fn a_gate_that_restarted_keeps_the_limit_that_other_proxies_were_told() {
+    let gate = open_gate();
+    let told = ServerCondition {
+        process: registered_server().process(),
+        limit: Some(RequestRate::per_second(2)),
+        is_leaving: false,
+    };
+    assert!(gate.adopt_condition(&told).limit.is_some());
+    let run = |id| run_with_call(&gate, id, "ledger", CallEnd::Served);
+    run(0).expect("the first run");
+    assert!(matches!(run(1), Err(Rejection::Busy(wait)) if wait > Millis(400)));
+}
+
+#[test]
+fn what_another_process_said_has_no_effect() {
+    let gate = open_gate();
+    let told = ServerCondition {
+        process: registered_server().process() + 1,
+        limit: Some(RequestRate::default()),
+        is_leaving: true,
+    };
+    assert_eq!(gate.adopt_condition(&told), ConditionChange::default());
+    assert_eq!(gate.load(1).condition, None);
+}
+
+#[test]
+fn a_request_that_waits_for_the_limit_alone_gets_its_slot_in_time() {
+    let gate = open_gate();
+    gate.adopt_condition(&ServerCondition {
+        process: registered_server().process(),
+        limit: Some(RequestRate::per_second(20)),
+        is_leaving: false,
+    });
+    let begin = |id| async_std::task::block_on(gate.acquire(&attempt(id, 300)));
+    for id in 0..6 {
+        drop(begin(id).expect("a slot within the wait limit"));
+    }
+}
--- a/crates/traffic/src/local_server.rs
+++ b/crates/traffic/src/local_server.rs
@@ -2,7 +2,8 @@
 //!
 //! Announcements can arrive late, twice, out of order, or from a process that has ended. They are
 //! ordered by the start time of the process and then by sequence number. A withdrawal is final for
-//! its process: no announcement with the same start time makes the daemon send requests again.
+//! its process: no announcement with the same start time makes the daemon send requests again. The
+//! same holds for a process that says in its answers that it leaves.
 
 use rf_base::ids::hash_key;
 use rf_base::{Millis, ServiceName, VersionName};
@@ -200,6 +201,14 @@
         }
     }
 
+    /// Applies that `process` says in its answers that it leaves.
+    pub fn leave(&mut self, process: u64) -> Change {
+        match &self.server {
+            Some(server) if server.process() == process => self.close(),
+            _ => Change::Same,
+        }
+    }
+
     /// Returns whether an announcement was sent before its process withdrew.
     ///
     /// A daemon that started in between knows the process only by its withdrawal. A late heartbeat
