--- a/crates/traffic/src/admission.rs
+++ b/crates/traffic/src/admission.rs
@@ -231,6 +231,7 @@
     }
 
     fn start(&mut self, now: Millis) {
+        debug_assert!(self.has_room(now));
         self.running += 1;
         self.limiter.begin(now);
     }
--- a/crates/traffic/tests/admission.rs
+++ b/crates/traffic/tests/admission.rs
@@ -1,6 +1,6 @@
 //! Tests of the admission queue of a backend server under load patterns, on a virtual clock.
 
-use rf_base::Millis;
+use rf_base::{Millis, RequestRate};
 use rf_traffic::admission::{Queue, SlotDecision, SlotRequest, WaitId};
 
 /// Maximum wait that is never exceeded in these tests.
@@ -194,3 +194,44 @@
     // Five short calls of 40 ms are waiting; the long runs do not count.
     assert_eq!(queue.time_to_slot(Millis(0)), first_wait + Millis(200));
 }
+
+/// Returns a queue of idle slots under a limit of 10 runs per second, whose first run has begun.
+fn limited_queue() -> Queue {
+    let mut queue = Queue::new(4);
+    queue.set_rate(Millis(0), Some(RequestRate::per_second(10)));
+    let first = queue.request(Millis(0), slot_request(1, 1000, 9000), LONG_WAIT);
+    assert_eq!(first, SlotDecision::Run);
+    queue
+}
+
+#[test]
+fn requests_wait_for_the_rate_limit_in_the_order_of_their_priority() {
+    let mut queue = limited_queue();
+    let plain = wait(&mut queue, 0, slot_request(2, 1000, 9000));
+    let urgent = wait(&mut queue, 0, slot_request(0, 1000, 9000));
+    assert_eq!(queue.next_start(Millis(0)), Some(Millis(100)));
+    assert!(queue.poll(Millis(99)).granted.is_empty());
+    assert_eq!(queue.poll(Millis(100)).granted, [urgent]);
+    assert_eq!(queue.poll(Millis(200)).granted, [plain]);
+    assert_eq!(queue.next_start(Millis(200)), None);
+}
+
+#[test]
+fn a_wait_for_the_rate_limit_above_its_maximum_is_refused_with_the_time_to_room() {
+    let mut queue = limited_queue();
+    wait(&mut queue, 0, slot_request(1, 1000, 9000));
+    let decision = queue.request(Millis(0), slot_request(1, 1000, 9000), Millis(150));
+    assert_eq!(decision, SlotDecision::Refuse(Millis(200)));
+    assert_eq!(queue.rate_wait(Millis(0)), Millis(200));
+}
+
+#[test]
+fn requests_that_wait_for_the_rate_limit_are_granted_when_it_ends() {
+    let mut queue = limited_queue();
+    let ids = [
+        wait(&mut queue, 0, slot_request(1, 1000, 9000)),
+        wait(&mut queue, 0, slot_request(1, 1000, 9000)),
+    ];
+    assert_eq!(queue.set_rate(Millis(10), None).granted, ids);
+    assert_eq!(queue.rate_wait(Millis(10)), Millis::ZERO);
+}
--- a/crates/traffic/tests/placement.rs
+++ b/crates/traffic/tests/placement.rs
@@ -1,7 +1,7 @@
 //! Tests of the load patterns that placement handles, on a virtual clock.
 
-use rf_base::{InstanceId, Millis, SeededRandom};
-use rf_protocol::relay::LoadReport;
+use rf_base::{InstanceId, Millis, RequestRate, SeededRandom};
+use rf_protocol::relay::{LoadReport, ServerCondition};
 use rf_traffic::placement::OfferReport;
 use rf_traffic::{Candidate, OfferEnd, Placement, PlacementRequest};
 use std::collections::{BTreeMap, BTreeSet};
@@ -287,3 +287,28 @@
     assert_eq!(placement.run_time(&server, ROUTE), Millis(40));
     assert_eq!(placement.run_time(&server, LONG), Millis(210));
 }
+
+#[test]
+fn a_server_at_its_limit_gets_no_request_while_another_has_room() {
+    let limited = report(0, 100).map(|r| OfferReport {
+        load: LoadReport {
+            rate_wait: Millis(300),
+            condition: Some(ServerCondition {
+                process: 1,
+                limit: Some(RequestRate::per_second(5)),
+                is_leaving: false,
+            }),
+            ..r.load
+        },
+        ..r
+    });
+    let mut placement = new_placement();
+    record_offer(&mut placement, 1, OfferEnd::Succeeded, limited);
+    record_offer(&mut placement, 2, OfferEnd::Succeeded, report(2, 160));
+    let candidates = [candidate(1, true), candidate(2, true)];
+    assert_eq!(choose_at(&mut placement, 1, &candidates), InstanceId(2));
+    let wait = placement.slot_wait(Millis(1), &candidates[..1]);
+    assert_eq!(wait, Some(Millis(299)));
+    // Its limit allows another run by then.
+    assert_eq!(choose_at(&mut placement, 400, &candidates), InstanceId(1));
+}
