Grant in time after a limit was raised

Callers that waited for a low limit waited on for up to 2 s after the server had raised it, while slots were free. Cause: the gate had one task that grants slots when the limit allows it; while it slept for the old limit no other was started. Ruled out: the limiter, whose wait falls at once with the limit (traffic, a_raised_limit_holds_at_once). Change: the gate keeps the time of the next grant and starts an earlier task where a request may run before it. Why it works: the earliest task always matches the time that is kept, and later ones end when they find another.

--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -70,8 +70,9 @@
     chains: ChainAdmission,
     cold_limiter: ColdLimiter,
     condition: ConditionTracker,
-    /// Whether a task will grant slots once the rate limit allows it.
-    is_pacing: bool,
+    /// Time at which a task grants the slots that the rate limit allows by then; `None` if no task
+    /// is waiting.
+    next_grant: Option<Millis>,
     /// Runs begun since the last report on the limit of the backend server, and its time.
     started: (u32, Millis),
     random: SeededRandom,
@@ -187,7 +188,7 @@
             chains: ChainAdmission::new(chains),
             cold_limiter: ColdLimiter::default(),
             condition: ConditionTracker::default(),
-            is_pacing: false,
+            next_grant: None,
             started: (0, Millis::ZERO),
             random,
             server: None,
@@ -331,19 +332,25 @@
 
     /// Makes sure that a request that waits for the rate limit alone gets its slot in time.
     fn pace(&self, now: Millis, inner: &mut Inner) {
-        if inner.is_pacing {
-            return;
-        }
         let Some(wait) = inner.queue.next_start(now) else {
             return;
         };
-        inner.is_pacing = true;
+        let wait = wait.max(Millis(1));
+        let at = now + wait;
+        if inner.next_grant.is_some_and(|next| next <= at) {
+            return;
+        }
+        // A task that wakes later, because the limit was lower, finds another time and ends.
+        inner.next_grant = Some(at);
         let gate = self.clone();
         task::spawn(async move {
-            task::sleep(wait.max(Millis(1)).duration()).await;
+            task::sleep(wait.duration()).await;
             let now = gate.clock.now();
             let mut inner = gate.lock();
-            inner.is_pacing = false;
+            if inner.next_grant != Some(at) {
+                return;
+            }
+            inner.next_grant = None;
             let wakeups = inner.queue.poll(now);
             inner.wake(now, wakeups);
             gate.pace(now, &mut inner);
--- a/crates/proxy/tests/gate.rs
+++ b/crates/proxy/tests/gate.rs
@@ -1,5 +1,6 @@
 //! The admission gate of a backend server: slots, incoming bodies, ledger queries and rate limits.
 
+use async_std::task;
 use rf_base::{
     AttemptId, Clock, ConfigVersion, Incarnation, InstanceId, Millis, RequestRate, SeededRandom,
 };
@@ -9,8 +10,9 @@
     ServerAnswer, ServerCondition,
 };
 use rf_proxy::gate::{CallEnd, Gate};
-use rf_traffic::{ConditionChange, LocalServer};
+use rf_traffic::{ConditionChange, LocalServer, StatedLimit, Statement};
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 const THIS_INSTANCE: InstanceId = InstanceId(1);
 const THIS_INCARNATION: Incarnation = Incarnation(7);
@@ -213,3 +215,30 @@
         drop(begin(id).expect("a slot within the wait limit"));
     }
 }
+
+#[async_std::test]
+async fn a_raised_limit_ends_the_wait_for_the_old_one() {
+    let gate = open_gate();
+    gate.adopt_condition(&ServerCondition {
+        process: registered_server().process(),
+        limit: Some(RequestRate::default()),
+        is_leaving: false,
+    });
+    task::sleep(Millis(5).duration()).await;
+    let first = gate.acquire(&attempt(1, 10)).await.expect("a free slot");
+    let waiting = {
+        let gate = gate.clone();
+        let mut second = attempt(2, 2500);
+        second.terms.time_left = Millis(5000);
+        task::spawn(async move { gate.acquire(&second).await.map(drop) })
+    };
+    task::sleep(Millis(50).duration()).await;
+    first.observe_statement(&Statement {
+        limit: StatedLimit::Named(RequestRate::per_second(50)),
+        is_leaving: false,
+    });
+    let raised = Instant::now();
+    waiting.await.expect("a slot");
+    let waited = raised.elapsed();
+    assert!(waited < Duration::from_millis(1000), "{waited:?}");
+}
