Let the reported wait for a limit decay instead of running out

Cause: placement counted a reported wait for the limit down in real time. An origin hears of a server every few seconds; by then the wait had run out, though other origins keep the server at its limit, so three offers in a row met servers without room. Change: the reported wait is halved every 2 s. Why it works: near its limit a server's wait depends on the requests of all, which do not end when one origin looks away.

--- a/crates/traffic/src/placement.rs
+++ b/crates/traffic/src/placement.rs
@@ -33,6 +33,9 @@
 
 /// Half-life of a load report, in milliseconds.
 const REPORT_HALF_LIFE_MS: f64 = 500.0;
+/// Half-life of a reported wait for a rate limit, in milliseconds. A server at its limit stays there
+/// while other proxies send it requests.
+const RATE_HALF_LIFE_MS: f64 = 2000.0;
 /// Assumed run time before any measurement, in milliseconds.
 const INITIAL_RUN_MS: f64 = 60.0;
 /// Weight of the newest outcome in the moving average of failures.
@@ -332,10 +335,11 @@
         let Some((load, limit)) = limit else {
             return 0.0;
         };
-        let reported = load.report.rate_wait.since(now.since(load.reported_at));
+        let age = now.since(load.reported_at).0 as f64;
+        let reported = load.report.rate_wait.0 as f64 * 0.5f64.powf(age / RATE_HALF_LIFE_MS);
         let sent_since = load.sent_since.min(load.in_flight);
         let interval = limit.interval_ms().min(MAX_INTERVAL_MS);
-        reported.0 as f64 + f64::from(sent_since) * interval
+        reported + f64::from(sent_since) * interval
     }
 
     /// Returns the estimated number of requests that run or wait at a server.
