--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -7,15 +7,16 @@
 //! again from the moment at which the backend server announces its departure.
 
 mod guards;
+mod permit;
 
 use async_channel::{Sender, bounded};
 use async_std::task;
 use guards::SlotWait;
 pub use guards::{BodyReservation, PendingGuard, PendingReply};
-use rf_base::{
-    AttemptId, Clock, Incarnation, InstanceId, Millis, RequestRate, SeededRandom, ServiceName,
-};
-use rf_config::{Mechanisms, RepeatPolicy};
+use permit::LedgerRecord;
+pub use permit::{Observation, SlotPermit};
+use rf_base::{AttemptId, Clock, Incarnation, InstanceId, Millis, SeededRandom, ServiceName};
+use rf_config::Mechanisms;
 use rf_protocol::AttemptHeader;
 use rf_protocol::relay::{
     AttemptEnd, AttemptKey, AttemptRequest, AttemptTerms, LedgerAnswer, LoadReport, Loss,
@@ -24,7 +25,7 @@
 use rf_traffic::admission::{Queue, QueueSettings, SlotDecision, SlotRequest, WaitId, Wakeups};
 use rf_traffic::{
     AttemptStatus, BeginResult, ChainAdmission, ChainSettings, ColdLimiter, ConditionChange,
-    ConditionTracker, Ledger, LedgerSettings, LocalServer, RetryDelays, RunStart, Statement,
+    ConditionTracker, Ledger, LedgerSettings, LocalServer, RetryDelays, RunStart,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -39,8 +40,6 @@
 const ANSWER_TTL: Millis = Millis::from_secs(10);
 /// Maximum total size of the kept answers, in bytes.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
-/// Interval at which the number of runs begun under a limit is reported.
-const LIMIT_REPORT_INTERVAL: Millis = Millis(4000);
 /// Maximum number of attempt records.
 const MAX_RECORDS: usize = 65_536;
 
@@ -80,19 +79,6 @@
     shutdown_at: Option<Millis>,
 }
 
-/// What an answer of the backend server told the gate.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Observation {
-    /// How it changed what is known.
-    pub change: ConditionChange,
-    /// Limit that is in force.
-    pub limit: Option<RequestRate>,
-    /// Number of runs begun within `span`, if it is time to report it.
-    pub started: Option<u32>,
-    /// Time since the last report.
-    pub span: Millis,
-}
-
 /// A running request and the calls it has made.
 #[derive(Debug)]
 struct RunningRequest {
@@ -126,32 +112,6 @@
     Shed,
 }
 
-/// A slot at the backend server, held by one attempt until it is dropped.
-#[derive(Debug)]
-pub struct SlotPermit {
-    gate: Gate,
-    key: AttemptKey,
-    request: String,
-    route: u64,
-    repeat: RepeatPolicy,
-    server: LocalServer,
-    start: Millis,
-    record: LedgerRecord,
-    /// Whether the duration of the run says something about the speed of the backend server.
-    is_measured: bool,
-}
-
-/// What is recorded in the ledger when a permit is dropped.
-#[derive(Debug)]
-enum LedgerRecord {
-    /// The attempt did not run.
-    NotRun,
-    /// It ran; its end is not kept.
-    Ran,
-    /// It ran, and its end is kept for a sender that queries it.
-    Kept(AttemptEnd),
-}
-
 impl Gate {
     /// Creates a closed gate.
     pub fn new(
@@ -564,29 +524,6 @@
         }
     }
 
-    /// Applies what the process of `permit` said in its answer.
-    fn observe(&mut self, now: Millis, permit: &SlotPermit, statement: &Statement) -> Observation {
-        let process = permit.server.process();
-        let change = self
-            .condition
-            .observe(now, process, permit.start, statement);
-        self.apply_limit(now, change);
-        let (started, since) = self.started;
-        let span = now.since(since);
-        let is_due = span >= LIMIT_REPORT_INTERVAL || change.limit.is_some();
-        if is_due {
-            self.started = (0, now);
-        }
-        let limit = self.condition.limit();
-        let is_reported = is_due && (limit.is_some() || change.limit.is_some());
-        Observation {
-            change,
-            limit,
-            started: is_reported.then_some(started),
-            span,
-        }
-    }
-
     fn start_run(&mut self, now: Millis, attempt: &AttemptRequest) {
         let running = self.requests.entry(attempt.request.clone());
         let running = running.or_insert_with(|| RunningRequest {
@@ -646,59 +583,3 @@
         expires: now + terms.max_wait.min(terms.time_left),
     }
 }
-
-impl SlotPermit {
-    /// Returns the backend server that the slot belongs to.
-    pub fn server(&self) -> &LocalServer {
-        &self.server
-    }
-
-    /// Applies what the backend server says about itself in its answer.
-    pub fn observe_statement(&self, statement: &Statement) -> Observation {
-        let now = self.gate.clock.now();
-        let mut inner = self.gate.lock();
-        let observation = inner.observe(now, self, statement);
-        self.gate.pace(now, &mut inner);
-        observation
-    }
-
-    /// Returns the time since the slot was acquired.
-    pub fn age(&self) -> Millis {
-        self.gate.clock.now().since(self.start)
-    }
-
-    /// Sets how the attempt ended and returns it, marked if one of its calls was refused.
-    ///
-    /// The end is kept only for an attempt that must not be repeated, as its sender may query it.
-    pub fn finish(mut self, mut end: AttemptEnd) -> AttemptEnd {
-        if let AttemptEnd::Answered(answer) = &mut end {
-            answer.is_starved = self.gate.is_starved(&self.request);
-        }
-        self.is_measured = matches!(
-            end,
-            AttemptEnd::Answered(_) | AttemptEnd::MayHaveRun(Loss::Late)
-        );
-        self.record = match (&end, self.repeat) {
-            (AttemptEnd::NotRun(_), _) => LedgerRecord::NotRun,
-            (_, RepeatPolicy::Once) => LedgerRecord::Kept(end.clone()),
-            (_, RepeatPolicy::Idempotent) => LedgerRecord::Ran,
-        };
-        end
-    }
-}
-
-impl Drop for SlotPermit {
-    fn drop(&mut self) {
-        let now = self.gate.clock.now();
-        let span = now.since(self.start);
-        let mut inner = self.gate.lock();
-        inner.end_run(now, self);
-        match std::mem::replace(&mut self.record, LedgerRecord::Ran) {
-            LedgerRecord::NotRun => inner.ledger.revoke(self.key.id),
-            LedgerRecord::Ran => inner.ledger.finish(now, self.key.id, None),
-            LedgerRecord::Kept(end) => inner.ledger.finish(now, self.key.id, Some(end)),
-        }
-        let run = self.is_measured.then_some((self.route, span));
-        self.gate.release(now, &mut inner, run);
-    }
-}
