Add the shared types for organisations, quotas, attempt classes and slowness

Messages gain optional last fields that are left out while they are unset, so proxies of a mesh without organisations send the same bytes as before. Nothing reads the new fields yet.

--- a/crates/base/src/ids.rs
+++ b/crates/base/src/ids.rs
@@ -114,6 +114,10 @@
     /// whether the write was applied.
     OperationId, "o-"
 );
+number_id!(
+    /// Id of an organisation, derived from its name by [`OrganisationId::of`].
+    OrganisationId, "org-"
+);
 number_id!(
     /// Fencing token of a lease; increases each time the lease gets a new holder.
     Epoch, ""
@@ -159,6 +163,17 @@
     /// Name of an availability zone.
     ZoneName
 );
+name_id!(
+    /// Name of an organisation, whose callers authenticate with its API keys.
+    OrganisationName
+);
+
+impl OrganisationId {
+    /// Returns the id of the organisation called `name`, a hash of the name.
+    pub fn of(name: &OrganisationName) -> OrganisationId {
+        OrganisationId(xxh3_64(name.0.as_bytes()))
+    }
+}
 
 impl InstanceId {
     /// Returns the id of the instance called `name`, a hash of the name.
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -11,8 +11,8 @@
 pub mod verdict;
 
 pub use ids::{
-    AttemptId, ConfigVersion, Epoch, Incarnation, InstanceId, MoveId, OperationId, PlanId,
-    ServiceName, VersionName, ZoneName,
+    AttemptId, ConfigVersion, Epoch, Incarnation, InstanceId, MoveId, OperationId, OrganisationId,
+    OrganisationName, PlanId, ServiceName, VersionName, ZoneName,
 };
 pub use random::SeededRandom;
 pub use rate::RequestRate;
--- a/crates/base/src/rate.rs
+++ b/crates/base/src/rate.rs
@@ -41,12 +41,18 @@
     /// not a number, or more than a million.
     pub fn parse(text: &str) -> Result<RequestRate> {
         let number = text.trim().parse().ok();
-        match number.filter(|n: &f64| (0.0..=MAX_PER_SECOND).contains(n)) {
-            Some(number) => Ok(RequestRate((number * 1000.0) as u64)),
-            None => Err(ParseRateError {
+        number
+            .and_then(RequestRate::from_per_second)
+            .ok_or_else(|| ParseRateError {
                 text: text.chars().take(MAX_QUOTE).collect(),
-            }),
-        }
+            })
+    }
+
+    /// Creates a rate of `rate` requests per second, or `None` if it is negative, infinite, not a
+    /// number, or more than a million. Rates below the resolution become zero.
+    pub fn from_per_second(rate: f64) -> Option<RequestRate> {
+        let is_valid = (0.0..=MAX_PER_SECOND).contains(&rate);
+        is_valid.then_some(RequestRate((rate * 1000.0) as u64))
     }
 
     /// Returns the number of requests in a second.
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod mesh;
 pub mod moves;
+pub mod organisations;
 pub mod parse;
 pub mod patch;
 pub mod proxy;
@@ -20,6 +21,7 @@
 
 pub use mesh::{MeshConfig, Policy, Route, Service, VersionSpec};
 pub use moves::{Intent, Move, MoveState, Outcome, Plan, Step};
+pub use organisations::{KeyHash, Organisation, Quota};
 pub use parse::{ParseError, from_json};
 pub use patch::{TableDigest, TablePatch};
 pub use proxy::{Mechanisms, ProxySettings};
--- a/crates/config/src/patch.rs
+++ b/crates/config/src/patch.rs
@@ -135,6 +135,7 @@
             services: self.services.clone(),
             cold_rates: self.cold_rates.clone(),
             hosts,
+            organisations: BTreeMap::new(),
         };
         table.sort();
         match TableDigest::of(&table) == self.digest {
--- a/crates/config/src/routes.rs
+++ b/crates/config/src/routes.rs
@@ -3,7 +3,8 @@
 //! A table is decoded and verified once, shared read-only, and replaced by a table with a higher
 //! version. Lookup returns the route of the host with the longest matching prefix.
 
-use rf_base::{ConfigVersion, Millis, ServiceName, VersionName};
+use crate::organisations::Organisation;
+use rf_base::{ConfigVersion, Millis, OrganisationName, ServiceName, VersionName};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -47,6 +48,9 @@
     pub priority: u8,
     /// Services that run the requests; never empty.
     pub parts: Vec<WeightedService>,
+    /// Whether requests need no API key although the table has organisations.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_public: bool,
 }
 
 /// Limits on the requests and connections of callers.
@@ -88,6 +92,9 @@
     pub cold_rates: BTreeMap<ServiceName, u32>,
     /// Routes by host, sorted by decreasing length of the prefix.
     pub hosts: BTreeMap<String, Vec<PathRoute>>,
+    /// Organisations by name; empty if callers need no API key.
+    #[serde(default)]
+    pub organisations: BTreeMap<OrganisationName, Organisation>,
 }
 
 impl RouteTable {
--- a/crates/config/tests/patch.rs
+++ b/crates/config/tests/patch.rs
@@ -18,6 +18,7 @@
             service: service.into(),
             weight: 1,
         }],
+        is_public: false,
     }
 }
 
--- a/crates/protocol/src/relay.rs
+++ b/crates/protocol/src/relay.rs
@@ -7,8 +7,8 @@
 use crate::member::Member;
 use crate::message::{Exchange, ExchangeReply, Strike};
 use rf_base::{
-    AttemptId, ConfigVersion, Incarnation, InstanceId, Millis, RequestRate, ServiceName,
-    VersionName,
+    AttemptId, ConfigVersion, Incarnation, InstanceId, Millis, OrganisationId, RequestRate,
+    ServiceName, VersionName,
 };
 use rf_config::{RepeatPolicy, Rollout, TableDigest, TablePatch};
 use serde::{Deserialize, Serialize};
@@ -61,9 +61,28 @@
     /// may have restarted since.
     #[serde(default)]
     pub condition: Option<ServerCondition>,
+    /// Properties for scheduling that most attempts lack. It stays the last field, since it is left
+    /// out of the message while it is `None`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub class: Option<AttemptClass>,
+}
+
+/// Properties of an attempt for its scheduling at the gate.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AttemptClass {
+    /// Organisation whose caller sent the request, if it is known.
+    pub organisation: Option<OrganisationId>,
+    /// Whether this is a hedged request, whose first attempt is running. It only gets a free slot
+    /// for which no other request waits.
+    pub is_hedge: bool,
 }
 
 impl AttemptTerms {
+    /// Returns the organisation whose caller sent the request, if it is known.
+    pub fn organisation(&self) -> Option<OrganisationId> {
+        self.class.and_then(|c| c.organisation)
+    }
+
     /// Subtracts `span`, the time since the terms were received, from the remaining times.
     pub fn elapse(&mut self, span: Millis) {
         self.target_left = self.target_left.since(span);
@@ -139,6 +158,19 @@
     /// What it has said about itself; `None` if nothing.
     #[serde(default)]
     pub condition: Option<ServerCondition>,
+    /// How long work takes on it; `None` if it does not say. It stays the last field, since it is
+    /// left out of the message while it is `None`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub slowness: Option<Slowness>,
+}
+
+/// How long work takes on the instance of a backend server, as the server has stated it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Slowness {
+    /// Duration of work in percent of the usual one: 100 is as usual, 300 three times as long.
+    pub percent: u16,
+    /// Time since the server stated it.
+    pub age: Millis,
 }
 
 /// Complete HTTP response of a backend server.
@@ -331,6 +363,48 @@
     pub store_era: Option<u64>,
 }
 
+/// Request for tokens of the quotas of organisations, sent to the proxy that owns them.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuotaRequest {
+    /// Proxy that asks.
+    pub from: InstanceId,
+    /// One claim for each organisation.
+    pub claims: Vec<QuotaClaim>,
+}
+
+/// Claim on the quota of one organisation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuotaClaim {
+    /// Organisation whose quota is claimed.
+    pub organisation: OrganisationId,
+    /// Number of tokens asked for.
+    pub wanted: u32,
+    /// Number of unspent tokens that are returned.
+    pub unspent: u32,
+}
+
+/// Reply to a [`QuotaRequest`].
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuotaReply {
+    /// One grant for each claim.
+    pub grants: Vec<QuotaGrant>,
+}
+
+/// Tokens lent to a proxy, each of which lets one request start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuotaGrant {
+    /// Organisation that the tokens belong to.
+    pub organisation: OrganisationId,
+    /// Number of tokens.
+    pub tokens: u32,
+    /// Time after which unspent tokens are void.
+    pub lifetime: Millis,
+    /// Time until the next token is available, if none was lent.
+    pub wait: Millis,
+    /// Whether the replier owns the quota of the organisation; if not, it has lent nothing.
+    pub is_owner: bool,
+}
+
 /// Request from one proxy to another on a relay connection.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum RelayRequest {
@@ -351,6 +425,8 @@
     Member(Box<Member>),
     /// Counted outcomes, sent to the judges of a version change.
     Observe(Box<TrialReport>),
+    /// Asks for tokens of the quotas that the receiver owns; answered by [`RelayReply::Quota`].
+    Quota(Box<QuotaRequest>),
 }
 
 /// Reply to a [`RelayRequest`].
@@ -370,4 +446,6 @@
     Table(Option<Box<TablePatch>>),
     /// Acknowledges [`RelayRequest::Member`] or [`RelayRequest::Observe`].
     Done,
+    /// Reply to [`RelayRequest::Quota`].
+    Quota(Box<QuotaReply>),
 }
--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -390,6 +390,7 @@
                 answer_bytes: shared.usual_answer_bytes(&self.route.name) as u64,
                 body_bytes: 0,
                 condition: shared.told_conditions().get(target.instance),
+                class: None,
             },
             service: self.service.clone(),
             version: target.version.clone(),
--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -209,6 +209,7 @@
             route_run: inner.queue.average_run_of(route),
             rate_wait: inner.queue.rate_wait(self.clock.now()),
             condition: inner.condition.condition(),
+            slowness: None,
         }
     }
 
@@ -581,5 +582,6 @@
         is_best_effort: terms.is_best_effort,
         target: now + terms.target_left,
         expires: now + terms.max_wait.min(terms.time_left),
+        organisation: terms.organisation(),
     }
 }
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -117,6 +117,8 @@
         RelayRequest::Fetch(version, digest) => {
             RelayReply::Table(create_patch(shared, version, &digest))
         }
+        // Quotas are not lent yet: an empty reply grants nothing.
+        RelayRequest::Quota(_) => RelayReply::Quota(Box::default()),
     };
     Some(Answer {
         reply,
--- a/crates/proxy/tests/gate.rs
+++ b/crates/proxy/tests/gate.rs
@@ -64,6 +64,7 @@
             answer_bytes: 0,
             body_bytes: 60_000,
             condition: None,
+            class: None,
         },
         service: "payments".into(),
         version: "v1".into(),
--- a/crates/standin/src/model/policy.rs
+++ b/crates/standin/src/model/policy.rs
@@ -232,6 +232,7 @@
         is_best_effort: false,
         target: Millis(u64::MAX / 2),
         expires: Millis(u64::MAX / 2),
+        organisation: None,
     }
 }
 
--- a/crates/standin/src/model/world.rs
+++ b/crates/standin/src/model/world.rs
@@ -315,6 +315,7 @@
             is_best_effort: request.retry_state.is_last_round(),
             target: request.start + request.class.target,
             expires: self.now + max_wait,
+            organisation: None,
         };
         let state = &mut self.servers[server];
         match state
--- a/crates/traffic/src/admission.rs
+++ b/crates/traffic/src/admission.rs
@@ -34,7 +34,7 @@
 
 use crate::StartLimiter;
 use crate::recent::RecentRoutes;
-use rf_base::{Millis, RequestRate};
+use rf_base::{Millis, OrganisationId, RequestRate};
 use std::collections::BTreeMap;
 
 /// Inverse weight of the newest run in the average run time.
@@ -59,6 +59,8 @@
     pub target: Millis,
     /// Time after which the request no longer wants a slot.
     pub expires: Millis,
+    /// Organisation whose caller sent the request, if it is known.
+    pub organisation: Option<OrganisationId>,
 }
 
 /// Identifier of a waiting request, in order of arrival.
--- a/crates/traffic/tests/admission.rs
+++ b/crates/traffic/tests/admission.rs
@@ -15,6 +15,7 @@
         is_best_effort: false,
         target: Millis(target),
         expires: Millis(expires),
+        organisation: None,
     }
 }
 
--- a/crates/traffic/tests/late.rs
+++ b/crates/traffic/tests/late.rs
@@ -24,6 +24,7 @@
         is_best_effort: false,
         target: Millis(target),
         expires: Millis(expires),
+        organisation: None,
     }
 }
 
--- a/crates/traffic/tests/ranks.rs
+++ b/crates/traffic/tests/ranks.rs
@@ -82,6 +82,7 @@
             is_best_effort: false,
             target,
             expires: now + max_wait,
+            organisation: None,
         };
         match self.queue.request(now, request, max_wait) {
             SlotDecision::Run => self.begin(now, work),
--- a/crates/traffic/tests/weighted_split.rs
+++ b/crates/traffic/tests/weighted_split.rs
@@ -19,6 +19,7 @@
         target: Millis(500),
         priority: 1,
         parts: weights.iter().map(part).collect(),
+        is_public: false,
     }
 }
 
