Authenticate callers by the API keys of organisations

A configuration may list organisations with API keys. The origin admits a request on a route that is not public only with a valid key, answers 401 otherwise, names the organisation to the backend server, and never forwards the key. Nested calls need no key; one whose parent is not running here gets 503. The priority of the organisation precedes that of the route. Digests and patches of route tables carry organisations in buckets of their own; without organisations they are as before.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -8,6 +8,7 @@
 //! The route table ([`routes`]) and its patches ([`patch`]) serve the meshes whose configuration is
 //! published by a platform; their proxies are configured by [`proxy`].
 
+pub mod authentication;
 pub mod mesh;
 pub mod moves;
 pub mod organisations;
@@ -19,6 +20,9 @@
 pub mod verify;
 pub mod weights;
 
+pub use authentication::{
+    Admittance, Caller, Credential, KeyFault, KeyIndex, KnownOrganisation, Lineage, authenticate,
+};
 pub use mesh::{MeshConfig, Policy, Route, Service, VersionSpec};
 pub use moves::{Intent, Move, MoveState, Outcome, Plan, Step};
 pub use organisations::{KeyHash, Organisation, Quota};
--- a/crates/config/src/patch.rs
+++ b/crates/config/src/patch.rs
@@ -6,10 +6,14 @@
 //! depend on their order. A peer that has a newer table replies to a digest with the contents of the
 //! buckets that differ and with the digest of its own table, against which the patched table is
 //! checked. No history is needed, so the two tables may be any number of versions apart.
+//!
+//! Organisations have buckets of their own, by a hash of the name, behind those of the routes. A
+//! digest of a table without organisations does not have them.
 
+use crate::organisations::Organisation;
 use crate::routes::{CallerLimits, PathRoute, RouteTable};
 use rf_base::ids::hash_key;
-use rf_base::{ConfigVersion, ServiceName};
+use rf_base::{ConfigVersion, OrganisationName, ServiceName};
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use std::collections::{BTreeMap, BTreeSet};
@@ -17,6 +21,9 @@
 /// Number of buckets in a digest. A digest fits into one packet, and a bucket of a table of 1000
 /// routes contains about 16 routes.
 pub const BUCKETS: usize = 64;
+/// Number of buckets for organisations. Of 10,000 organisations with 100,000 keys, a bucket
+/// contains about 80 organisations, whose description takes about 30 kB.
+pub const ORGANISATION_BUCKETS: usize = 128;
 
 /// Error of applying a patch.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
@@ -55,6 +62,10 @@
     pub buckets: BTreeSet<u8>,
     /// All routes of the newer table in these buckets, by host.
     pub routes: BTreeMap<String, Vec<PathRoute>>,
+    /// All organisations of the newer table in these buckets. It stays the last field, since it is
+    /// left out of the message while it is empty.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub organisations: BTreeMap<OrganisationName, Organisation>,
 }
 
 impl TableDigest {
@@ -67,6 +78,13 @@
                 *bucket = bucket.wrapping_add(hash_route(host, route));
             }
         }
+        if !table.organisations.is_empty() {
+            buckets.resize(BUCKETS + ORGANISATION_BUCKETS, 0);
+        }
+        for (name, organisation) in &table.organisations {
+            let bucket = &mut buckets[usize::from(organisation_bucket(name))];
+            *bucket = bucket.wrapping_add(hash_organisation(name, organisation));
+        }
         TableDigest(buckets)
     }
 
@@ -76,7 +94,7 @@
             let index = usize::from(*bucket);
             self.0.get(index) != other.0.get(index)
         };
-        (0..BUCKETS as u8).filter(differs).collect()
+        (0..self.0.len() as u8).filter(differs).collect()
     }
 }
 
@@ -96,6 +114,11 @@
                 routes.insert(host.clone(), selected);
             }
         }
+        let organisations = table.organisations.iter();
+        let organisations = organisations
+            .filter(|(name, _)| buckets.contains(&organisation_bucket(name)))
+            .map(|(name, organisation)| (name.clone(), organisation.clone()))
+            .collect();
         TablePatch {
             version: table.version,
             digest: digest.clone(),
@@ -104,6 +127,7 @@
             cold_rates: table.cold_rates.clone(),
             buckets,
             routes,
+            organisations,
         }
     }
 
@@ -135,7 +159,7 @@
             services: self.services.clone(),
             cold_rates: self.cold_rates.clone(),
             hosts,
-            organisations: BTreeMap::new(),
+            organisations: self.patch_organisations(base),
         };
         table.sort();
         match TableDigest::of(&table) == self.digest {
@@ -143,6 +167,32 @@
             false => Err(PatchError::BaseMismatch),
         }
     }
+
+    fn patch_organisations(&self, base: &RouteTable) -> BTreeMap<OrganisationName, Organisation> {
+        if self.digest.0.len() <= BUCKETS {
+            return BTreeMap::new();
+        }
+        let kept = base.organisations.iter();
+        let kept = kept.filter(|(name, _)| !self.buckets.contains(&organisation_bucket(name)));
+        kept.chain(&self.organisations)
+            .map(|(name, organisation)| (name.clone(), organisation.clone()))
+            .collect()
+    }
+}
+
+fn organisation_bucket(name: &OrganisationName) -> u8 {
+    let bucket = hash_key(name.as_str().as_bytes()) % ORGANISATION_BUCKETS as u64;
+    BUCKETS as u8 + bucket as u8
+}
+
+fn hash_organisation(name: &OrganisationName, organisation: &Organisation) -> u64 {
+    let quota = organisation.quota.map(|q| (q.rate.to_string(), q.burst));
+    let text = format!("{name} {} {quota:?}\n", organisation.priority);
+    let mut bytes = text.into_bytes();
+    for key in &organisation.keys {
+        bytes.extend_from_slice(key.as_bytes());
+    }
+    hash_key(&bytes)
 }
 
 fn bucket_of(host: &str, route: &PathRoute) -> u8 {
@@ -156,7 +206,7 @@
         .iter()
         .map(|p| format!("{}={}", p.service, p.weight))
         .collect();
-    let text = format!(
+    let mut text = format!(
         "{host} {} {} {:?} {} {} {} {} {}",
         route.name,
         route.prefix,
@@ -167,5 +217,8 @@
         route.priority,
         parts.join(","),
     );
+    if route.is_public {
+        text.push_str("\npublic");
+    }
     hash_key(text.as_bytes())
 }
--- a/crates/config/src/routes.rs
+++ b/crates/config/src/routes.rs
@@ -3,7 +3,7 @@
 //! A table is decoded and verified once, shared read-only, and replaced by a table with a higher
 //! version. Lookup returns the route of the host with the longest matching prefix.
 
-use crate::organisations::Organisation;
+use crate::organisations::{Organisation, verify_organisations};
 use rf_base::{ConfigVersion, Millis, OrganisationName, ServiceName, VersionName};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -124,6 +124,7 @@
                 self.verify_route(host, route, &mut errors);
             }
         }
+        errors.extend(verify_organisations(&self.organisations));
         errors
     }
 
--- a/crates/proxy/src/control/machine.rs
+++ b/crates/proxy/src/control/machine.rs
@@ -13,7 +13,7 @@
 use rf_base::{
     ConfigVersion, Incarnation, InstanceId, Millis, SeededRandom, ServiceName, ZoneName,
 };
-use rf_config::{RouteTable, TableDigest, TablePatch};
+use rf_config::{KeyIndex, RouteTable, TableDigest, TablePatch};
 use rf_membership::overlay::highest_ranked;
 use rf_membership::{ExchangeTarget, Membership, MembershipSettings};
 use rf_protocol::relay::{GossipUpdate, RelayReply, RelayRequest, TrialReport};
@@ -83,6 +83,7 @@
     membership: Membership,
     table: Arc<RouteTable>,
     digest: Arc<TableDigest>,
+    keys: Arc<KeyIndex>,
     rollouts: RolloutTracker,
     strikes: StrikeTable,
     /// Fingerprints of the requests whose strikes are being gossiped, with the time since when.
@@ -126,6 +127,7 @@
             membership,
             table: Arc::default(),
             digest: Arc::default(),
+            keys: Arc::default(),
             rollouts: RolloutTracker::default(),
             strikes: StrikeTable::default(),
             gossiped_strikes: BTreeMap::new(),
@@ -516,9 +518,13 @@
             version = table.version.0,
             before,
             from,
-            routes
+            routes,
+            organisations = table.organisations.len(),
         );
         self.digest = Arc::new(TableDigest::of(&table));
+        if table.organisations != self.table.organisations {
+            self.keys = Arc::new(KeyIndex::new(&table.organisations));
+        }
         self.table = Arc::new(table);
         self.fetch.adopt(now, self.table.version);
         self.membership.schedule_exchanges(now);
@@ -633,6 +639,7 @@
             zone_peers: near.map(|m| m.peers).collect(),
             table: self.table.clone(),
             digest: self.digest.clone(),
+            keys: self.keys.clone(),
             services,
             proxies: roster.reachable().count(),
         }
--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -3,7 +3,8 @@
 //! The proxy reads and writes headers and paths only through a [`Dialect`], so all wire names of a
 //! platform are defined in one place.
 
-use rf_base::{Millis, ServiceName};
+use rf_base::{Millis, OrganisationName, ServiceName};
+use rf_config::Credential;
 use rf_traffic::{Announcement, Statement};
 use rf_transport::h1::{Headers, RequestHead, ResponseHead};
 
@@ -62,6 +63,19 @@
     /// Sets the header that names the service from whose instance the request was first sent.
     fn set_origin_service(&self, headers: &mut Headers, service: &ServiceName);
 
+    /// Reads the API key that a request carries. Only its hash is returned.
+    fn read_credential(&self, headers: &Headers) -> Credential;
+
+    /// Removes the API key from a request.
+    fn remove_credential(&self, headers: &mut Headers);
+
+    /// Tells the sender of a refused request that it needs an API key.
+    fn set_challenge(&self, headers: &mut Headers);
+
+    /// Sets the header that names the organisation whose caller sent the request, or removes it if
+    /// there is none.
+    fn set_organisation(&self, headers: &mut Headers, organisation: Option<&OrganisationName>);
+
     /// Sets the remaining time and the expected backend server process on an attempt.
     fn set_attempt_headers(&self, headers: &mut Headers, left: Millis, instance: &str);
 
--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -14,9 +14,10 @@
 use crate::{local, relay, run};
 use rf_base::ids::hash_key;
 use rf_base::{InstanceId, Millis, ServiceName, Verdict};
-use rf_config::PathRoute;
+use rf_config::{Caller, PathRoute};
 use rf_protocol::relay::{
-    AttemptEnd, AttemptKey, AttemptRequest, AttemptTerms, Loss, Payload, Rejection, ServerAnswer,
+    AttemptClass, AttemptEnd, AttemptKey, AttemptRequest, AttemptTerms, Loss, Payload, Rejection,
+    ServerAnswer,
 };
 use rf_rollout::trial::share_at;
 use rf_traffic::placement::OfferReport;
@@ -63,6 +64,8 @@
     pub deadline: Millis,
     /// What it inherits if it is a call of a request that the local backend server is running.
     pub parent: Option<Parent>,
+    /// Who sent the request.
+    pub caller: Caller,
     /// HTTP request that is sent.
     pub payload: Payload,
     /// Set while the request is dispatched; read by the caller of [`dispatch`] on a timeout.
@@ -214,7 +217,16 @@
 
     /// Returns the priority; 0 is the most urgent.
     pub fn priority(&self) -> u8 {
-        self.parent.map_or(self.route.priority, |p| p.priority)
+        self.parent.map_or(self.caller.class, |p| p.priority)
+    }
+
+    /// Returns the properties for scheduling at the gate, or `None` if there are none to tell.
+    fn class(&self) -> Option<AttemptClass> {
+        let organisation = self.caller.organisation_id();
+        organisation.map(|id| AttemptClass {
+            organisation: Some(id),
+            is_hedge: false,
+        })
     }
 
     fn route_fingerprint(&self) -> u64 {
@@ -390,7 +402,7 @@
                 answer_bytes: shared.usual_answer_bytes(&self.route.name) as u64,
                 body_bytes: 0,
                 condition: shared.told_conditions().get(target.instance),
-                class: None,
+                class: self.class(),
             },
             service: self.service.clone(),
             version: target.version.clone(),
--- a/crates/proxy/src/ingress.rs
+++ b/crates/proxy/src/ingress.rs
@@ -1,5 +1,6 @@
 //! Accepts HTTP requests from callers and from the local backend server, and answers them.
 
+use crate::authentication::{self, Denial};
 use crate::dialect::{CallerMetadata, Dialect};
 use crate::dispatch::{Call, FinalOutcome, Progress, RefusalReason, dispatch};
 use crate::gate::{CallEnd, Parent};
@@ -11,7 +12,7 @@
 use futures_lite::FutureExt;
 use rf_base::ids::hash_key;
 use rf_base::{Millis, ServiceName, Verdict};
-use rf_config::{CallerLimits, PathRoute};
+use rf_config::{Caller, CallerLimits, PathRoute};
 use rf_protocol::relay::{Payload, ServerAnswer};
 use rf_transport::h1::{
     Connection, Framing, Headers, ReadError, ReadLimits, RequestHead, ResponseHead, frame_request,
@@ -73,6 +74,8 @@
     start: Millis,
     /// What it inherits if the local backend server sent it while running another request.
     parent: Option<Parent>,
+    /// Who sent it; set once the request is authenticated.
+    caller: Caller,
     _memory: MemoryReservation,
 }
 
@@ -155,6 +158,7 @@
         metadata,
         start,
         parent,
+        caller: Caller::default(),
         _memory: memory,
     })
 }
@@ -217,7 +221,7 @@
     }
 }
 
-async fn answer<D: Dialect>(shared: &Arc<Shared<D>>, received: Received) -> Response {
+async fn answer<D: Dialect>(shared: &Arc<Shared<D>>, mut received: Received) -> Response {
     let view = shared.view.load_full();
     let host = received.head.headers.get("host").unwrap_or_default();
     if !view.is_known() {
@@ -231,6 +235,11 @@
         info!(event = "request.unrouted", request, host, table);
         return empty_response(404);
     };
+    received.caller = match authenticate(shared, &view, route, &received) {
+        Ok(caller) => caller,
+        Err(response) => return response,
+    };
+    let caller = received.caller.clone();
     let service = shared.shares().pick(route).cloned();
     let Some(service) = service else {
         return service_unavailable(shared, DEFAULT_RETRY);
@@ -246,6 +255,7 @@
     let class = format!("{}xx", status / 100);
     let labels = [service.as_str(), class.as_str(), verdict.as_str()];
     shared.metrics.requests.with_label_values(&labels).inc();
+    authentication::count_request(shared, &caller, status, verdict);
     let seconds = shared
         .metrics
         .request_seconds
@@ -257,6 +267,7 @@
             request,
             route = route.name,
             service = service.as_str(),
+            organisation = caller.name(),
             status,
             verdict = verdict.as_str(),
             reason,
@@ -268,6 +279,27 @@
     response
 }
 
+/// Returns who sent a request, or the response to a request that must not be run.
+fn authenticate<D: Dialect>(
+    shared: &Shared<D>,
+    view: &View,
+    route: &PathRoute,
+    received: &Received,
+) -> Result<Caller, Response> {
+    let request = &received.metadata.request_id;
+    let is_nested = received.parent.is_some();
+    let headers = &received.head.headers;
+    let admitted = authentication::admit(shared, view, route, request, is_nested, headers);
+    admitted.map_err(|denial| match denial {
+        Denial::Unauthorised => {
+            let mut response = empty_response(401);
+            shared.dialect.set_challenge(&mut response.head.headers);
+            response
+        }
+        Denial::Later(wait) => service_unavailable(shared, wait),
+    })
+}
+
 /// Runs a request until it has a final outcome. Returns the response, whether the request ran, and
 /// the reason for the log.
 async fn run_request<D: Dialect>(
@@ -295,6 +327,7 @@
     let progress = Progress::default();
     let fingerprint = compute_fingerprint(shared, &received);
     let request = received.metadata.request_id.clone();
+    let class = received.caller.class;
     let call = Call {
         route,
         service,
@@ -306,6 +339,7 @@
         age,
         deadline,
         parent: received.parent,
+        caller: received.caller.clone(),
         payload: make_payload(shared, received),
         progress: &progress,
     };
@@ -325,7 +359,7 @@
         // A request that arrived past its latency target says nothing about those that could still
         // meet theirs.
         None if age >= route.target => {}
-        None => shared.observe_request_end(service, route.priority, call_end),
+        None => shared.observe_request_end(service, class, call_end),
     }
     match end {
         Ok(FinalOutcome::Answer(answer)) => (forward_answer(answer), Verdict::Ran, "answered"),
@@ -372,6 +406,9 @@
     shared
         .dialect
         .set_origin_service(&mut headers, &settings.server.service);
+    // After the fields that `Connection` lists are removed, so that a caller can't have the name of
+    // its organisation removed.
+    authentication::rewrite_headers(&shared.dialect, &received.caller, &mut headers);
     Payload {
         method: received.head.method,
         target: received.head.target,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -10,6 +10,7 @@
 //! configuration and the rollouts.
 
 pub mod admin;
+pub mod authentication;
 pub mod compression;
 pub mod control;
 pub mod dialect;
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -37,6 +37,10 @@
     pub statements: IntCounterVec,
     /// Requests per second that the local backend server takes; -1 if it names no limit.
     pub server_limit: Gauge,
+    /// Requests refused for want of a valid API key, by reason.
+    pub unauthorised: IntCounterVec,
+    /// Requests of callers with an organisation, by organisation and result.
+    pub organisation_requests: IntCounterVec,
     /// Dropped log lines and control events, by reason.
     pub dropped_lines: IntCounterVec,
     /// Version of the active route table.
@@ -106,6 +110,16 @@
             announcements: counters("announcements_total", "Announcements", &["change"]),
             statements: counters("server_statements_total", "What the server says", &["kind"]),
             server_limit,
+            unauthorised: counters(
+                "unauthorised_total",
+                "Requests without a valid key",
+                &["reason"],
+            ),
+            organisation_requests: counters(
+                "organisation_requests_total",
+                "Requests of organisations",
+                &["organisation", "result"],
+            ),
             dropped_lines: counters("log_lines_dropped_total", "Lines dropped", &["reason"]),
             table_version: gauge("table_version", "Route table in force"),
             proxies: gauge("proxies", "Proxies that are reachable"),
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -1,5 +1,6 @@
 //! State that the tasks which handle traffic share with each other and with the control plane.
 
+use crate::authentication::OrganisationLabels;
 use crate::control::Event;
 use crate::gate::{CallEnd, Gate};
 use crate::metrics::Metrics;
@@ -76,6 +77,8 @@
     pub request_memory: MemoryBudget,
     /// Memory budget of the answers that are being read from the backend server.
     pub answer_memory: MemoryBudget,
+    /// Organisations that have metrics of their own.
+    pub organisation_labels: OrganisationLabels,
     placement: Mutex<Placement>,
     shares: Mutex<WeightedSplit>,
     retry_budgets: Mutex<BTreeMap<ServiceName, RetryBudget>>,
@@ -151,6 +154,7 @@
             store_era: AtomicU64::new(0),
             request_memory: MemoryBudget::new(settings.limits.max_request_bytes()),
             answer_memory: MemoryBudget::new(settings.limits.max_answer_bytes()),
+            organisation_labels: OrganisationLabels::default(),
             placement: Mutex::new(Placement::with_settings(fork(), placement)),
             shares: Mutex::new(WeightedSplit::new(fork())),
             retry_budgets: Mutex::default(),
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -1,7 +1,7 @@
 //! Routing state of the data plane: an immutable view that the control plane replaces as a whole.
 
 use rf_base::{Incarnation, InstanceId, Millis, ServiceName, VersionName};
-use rf_config::{RouteTable, TableDigest};
+use rf_config::{KeyIndex, RouteTable, TableDigest};
 use rf_traffic::Candidate;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -52,6 +52,8 @@
     pub table: Arc<RouteTable>,
     /// Digest of the route table.
     pub digest: Arc<TableDigest>,
+    /// Organisations of the route table by key.
+    pub keys: Arc<KeyIndex>,
     /// Backend servers, by service.
     pub services: BTreeMap<ServiceName, ServiceView>,
     /// Addresses of the reachable proxies in this availability zone, including this one.
--- a/crates/standin/src/users/mesh.rs
+++ b/crates/standin/src/users/mesh.rs
@@ -113,6 +113,8 @@
     pub timeout: Millis,
     /// Decoded body.
     pub body: Vec<u8>,
+    /// Further header fields.
+    pub headers: Vec<(&'static str, String)>,
 }
 
 impl CallerRequest {
@@ -124,9 +126,17 @@
             id: id.to_owned(),
             timeout: Millis(3000),
             body: Vec::new(),
+            headers: Vec::new(),
         }
     }
 
+    /// Returns the request with an API key.
+    pub fn with_key(mut self, key: &str) -> CallerRequest {
+        let value = format!("Bearer {key}");
+        self.headers.push(("Authorization", value));
+        self
+    }
+
     /// Creates a request on the route `pay`, which must run at most once.
     pub fn pay(id: &str) -> CallerRequest {
         CallerRequest {
@@ -194,6 +204,12 @@
     /// Writes the next version of the configuration with the given virtual hosts to the store and
     /// returns its number.
     pub fn write_table(&mut self, hosts: &Value) -> u64 {
+        self.write_tenants(hosts, &json!([]))
+    }
+
+    /// Writes the next version of the configuration with the given virtual hosts and organisations
+    /// to the store and returns its number.
+    pub fn write_tenants(&mut self, hosts: &Value, tenants: &Value) -> u64 {
         self.version += 1;
         let services: Vec<Value> = self
             .settings
@@ -211,6 +227,7 @@
                 "idleTimeout": "15s",
             },
             "virtualHosts": hosts,
+            "tenants": tenants,
         });
         self.store.write("config", "main", document);
         self.version
@@ -456,6 +473,9 @@
     head.headers.add("X-Rosemaryfork-Request-Id", &request.id);
     let left = request.timeout.0.to_string();
     head.headers.add("X-Rosemaryfork-Deadline-Ms", &left);
+    for (name, value) in &request.headers {
+        head.headers.add(name, value);
+    }
     let mut bytes = head.encode(request.body.len());
     bytes.extend_from_slice(&request.body);
     bytes
--- a/crates/transport/src/h1/head.rs
+++ b/crates/transport/src/h1/head.rs
@@ -218,6 +218,7 @@
         204 => "No Content",
         304 => "Not Modified",
         400 => "Bad Request",
+        401 => "Unauthorized",
         404 => "Not Found",
         408 => "Request Timeout",
         409 => "Conflict",
