Hedge slow idempotent requests within a limit set by the operators

A request that may be repeated is now sent to a second backend server once its response takes longer than 95 in 100 of the recent responses of its route. The first complete response is used, and the other attempt is cancelled by closing its connection. The setting policy.hedging (share, burst) limits the copies; it is off by default, and then neither the request path nor the messages change.

Each copy needs a token of the operators' budget, which is divided between the proxies, and one of the retry budget, of which a quarter is left to retries. The gate runs a copy only in a slot that no other request wants, on a warm server without a stated limit. A refused copy is refunded. Requests with crash records and services with a version on trial are not hedged.

With a burst divided by 82 proxies below one token, a budget capped at its burst never granted anything; the budget of hedged requests therefore saves up to one token. The retry budget has the same defect from about 130 proxies on and is left as it is here.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -24,7 +24,7 @@
 pub use organisations::{KeyHash, Organisation, Quota};
 pub use parse::{ParseError, from_json};
 pub use patch::{TableDigest, TablePatch};
-pub use proxy::{Mechanisms, ProxySettings};
+pub use proxy::{HedgingPolicy, Mechanisms, ProxySettings};
 pub use routes::{
     CallerLimits, PathRoute, RepeatPolicy, Revision, Rollout, RolloutState, RouteTable,
     WeightedService,
--- a/crates/config/src/proxy.rs
+++ b/crates/config/src/proxy.rs
@@ -87,11 +87,31 @@
     /// Cost of a kilobyte that leaves the availability zone, expressed as time in milliseconds.
     #[serde(rename = "distance")]
     pub transfer_cost: f64,
+    /// Limit on hedged requests; off by default.
+    pub hedging: HedgingPolicy,
     /// Load control mechanisms, which can be disabled to measure their effect. They are read once,
     /// when the process starts.
     pub mechanisms: Mechanisms,
 }
 
+/// Limit on hedged requests: second copies of slow requests that may be repeated.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields, rename_all = "camelCase")]
+pub struct HedgingPolicy {
+    /// Maximum number of hedged requests as a fraction, from 0 to 1, of the requests of a service;
+    /// 0 switches hedging off.
+    pub share: f64,
+    /// Number of additional hedged requests to a service that may come together in the whole mesh.
+    pub burst: f64,
+}
+
+impl HedgingPolicy {
+    /// Returns whether requests are hedged at all.
+    pub fn is_enabled(&self) -> bool {
+        self.share > 0.0
+    }
+}
+
 /// Mechanisms of load control. Each can be disabled; all are enabled by default.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields, rename_all = "camelCase")]
@@ -154,6 +174,7 @@
             late_wait: 0.3,
             nested_reserve: 0.5,
             transfer_cost: 30.0,
+            hedging: HedgingPolicy::default(),
             mechanisms: Mechanisms::default(),
         }
     }
@@ -161,12 +182,13 @@
 
 impl LoadPolicy {
     /// Returns the fractions with their names in the settings.
-    fn fractions(&self) -> [(&'static str, f64); 4] {
+    fn fractions(&self) -> [(&'static str, f64); 5] {
         [
             ("policy.nearWait", self.near_wait),
             ("policy.firstWait", self.far_wait),
             ("policy.lateWait", self.late_wait),
             ("policy.nestedReserve", self.nested_reserve),
+            ("policy.hedging.share", self.hedging.share),
         ]
     }
 }
@@ -268,6 +290,10 @@
             self.policy.transfer_cost >= 0.0,
             "policy.distance: is negative",
         );
+        require(
+            self.policy.hedging.burst >= 0.0 && self.policy.hedging.burst.is_finite(),
+            "policy.hedging.burst: is negative or infinite",
+        );
         errors
     }
 }
--- a/crates/protocol/src/relay.rs
+++ b/crates/protocol/src/relay.rs
@@ -83,6 +83,11 @@
         self.class.and_then(|c| c.organisation)
     }
 
+    /// Returns whether the attempt is a hedged request.
+    pub fn is_hedge(&self) -> bool {
+        self.class.is_some_and(|c| c.is_hedge)
+    }
+
     /// Subtracts `span`, the time since the terms were received, from the remaining times.
     pub fn elapse(&mut self, span: Millis) {
         self.target_left = self.target_left.since(span);
--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -5,6 +5,8 @@
 //! and on the retry budget of the service. Once no further attempt is allowed, the outcome says
 //! whether the request certainly did not run (and when to retry it) or may have run.
 
+mod hedge;
+
 use crate::control::Event;
 use crate::dialect::Dialect;
 use crate::gate::Parent;
@@ -16,7 +18,8 @@
 use rf_base::{InstanceId, Millis, ServiceName, Verdict};
 use rf_config::PathRoute;
 use rf_protocol::relay::{
-    AttemptEnd, AttemptKey, AttemptRequest, AttemptTerms, Loss, Payload, Rejection, ServerAnswer,
+    AttemptClass, AttemptEnd, AttemptKey, AttemptRequest, AttemptTerms, Loss, Payload, Rejection,
+    ServerAnswer,
 };
 use rf_rollout::trial::share_at;
 use rf_traffic::placement::OfferReport;
@@ -40,6 +43,14 @@
 /// calls as well.
 const NESTED_SAFE_FRACTION: f64 = 0.4;
 
+/// Class of the attempts that are not hedged requests.
+const FIRST_COPY: Option<AttemptClass> = None;
+/// Class of hedged requests.
+const HEDGED_COPY: Option<AttemptClass> = Some(AttemptClass {
+    organisation: None,
+    is_hedge: true,
+});
+
 /// One request to dispatch.
 #[derive(Debug)]
 pub struct Call<'a> {
@@ -135,6 +146,7 @@
     if !call.is_nested() {
         shared.with_budget(call.service, RetryBudget::deposit);
     }
+    shared.count_hedgeable(call.service);
     let crashes = shared.strikes.load().count(call.fingerprint);
     if crashes >= MAX_CRASHES {
         return FinalOutcome::Refused(RefusalReason::Crashing, call.deadline.since(shared.now()));
@@ -153,12 +165,16 @@
         let Some(target) = targets.iter().find(|t| t.instance == instance) else {
             return call.give_up(shared, retry_state, &candidates, None);
         };
-        let end = call.attempt(shared, target, &retry_state).await;
+        let (target, end) = call
+            .attempt_hedged(shared, targets, target, &mut retry_state)
+            .await;
+        let instance = target.instance;
         call.observe_trial(shared, side, &end, now);
         if let AttemptEnd::Answered(answer) = &end
             && answer.status < 500
         {
             call.progress.set_may_have_run(true);
+            shared.observe_response(call.route_fingerprint(), shared.now().since(now));
             if answer.status < 300 && shared.strikes.load().count(call.fingerprint) > 0 {
                 shared.send_event(Event::StrikesCleared(call.fingerprint));
             }
@@ -308,8 +324,9 @@
         shared: &Arc<Shared<D>>,
         target: &Target,
         retry_state: &RetryState,
+        class: Option<AttemptClass>,
     ) -> AttemptEnd {
-        let attempt = self.make_attempt(shared, target, retry_state);
+        let attempt = self.make_attempt(shared, target, retry_state, class);
         let mut in_flight = InFlightGuard {
             shared,
             instance: target.instance,
@@ -345,6 +362,7 @@
         shared: &Shared<D>,
         target: &Target,
         retry_state: &RetryState,
+        class: Option<AttemptClass>,
     ) -> Box<AttemptRequest> {
         let now = shared.now();
         let left = self.deadline.since(now);
@@ -390,7 +408,7 @@
                 answer_bytes: shared.usual_answer_bytes(&self.route.name) as u64,
                 body_bytes: 0,
                 condition: shared.told_conditions().get(target.instance),
-                class: None,
+                class,
             },
             service: self.service.clone(),
             version: target.version.clone(),
--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -258,6 +258,7 @@
             let mut inner = self.lock();
             self.check(&inner, attempt)?;
             inner.check_cold_rate(now)?;
+            inner.check_hedge(now, terms)?;
             self.check_chain(now, &mut inner, attempt)?;
             let slot_request = make_slot_request(now, terms);
             match inner.queue.request(now, slot_request, terms.max_wait) {
@@ -518,6 +519,17 @@
         }
     }
 
+    /// Rejects a hedged request unless it takes a slot that no other request wants, from a backend
+    /// server that is warm and states no limit.
+    fn check_hedge(&self, now: Millis, terms: &AttemptTerms) -> Result<()> {
+        let is_cold = self.server.as_ref().is_some_and(|s| now < s.warm_at);
+        let is_restricted = is_cold || self.condition.condition().is_some();
+        match terms.is_hedge() && (is_restricted || !self.queue.has_idle_slot(now)) {
+            true => Err(Rejection::Busy(self.queue.time_to_slot(now))),
+            false => Ok(()),
+        }
+    }
+
     fn apply_limit(&mut self, now: Millis, change: ConditionChange) {
         if let Some((_, limit)) = change.limit {
             let wakeups = self.queue.set_rate(now, limit);
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -20,6 +20,8 @@
     pub request_seconds: HistogramVec,
     /// Attempts that this proxy sent, by outcome.
     pub attempts: IntCounterVec,
+    /// Hedged requests, by what became of them.
+    pub hedges: IntCounterVec,
     /// Attempts that the gate of the local backend server handled, by outcome.
     pub runs: IntCounterVec,
     /// Queries to the attempt ledgers of other proxies, by answer.
@@ -90,6 +92,7 @@
                 seconds.expect("the options of a histogram are valid"),
             ),
             attempts: counters("attempts_total", "Attempts sent", &["end"]),
+            hedges: counters("hedges_total", "Hedged requests", &["result"]),
             runs: counters("runs_total", "Attempts taken by the gate", &["end"]),
             ledger_queries: counters("ledger_asks_total", "Questions to ledgers", &["answer"]),
             store_calls: counters(
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -13,8 +13,8 @@
 use rf_config::ProxySettings;
 use rf_traffic::placement::PlacementSettings;
 use rf_traffic::{
-    CallerAges, DelayTimes, Link, LocalServerState, Placement, RetryBudget, RetryDelays,
-    StrikeTable, ToldConditions, WeightedSplit,
+    CallerAges, DelayTimes, HedgeLimit, Hedging, Link, LocalServerState, Placement, RetryBudget,
+    RetryDelays, StrikeTable, ToldConditions, WeightedSplit,
 };
 use rf_transport::h1::{ByteBudget, Pool, PoolSettings};
 use std::collections::BTreeMap;
@@ -81,6 +81,7 @@
     retry_budgets: Mutex<BTreeMap<ServiceName, RetryBudget>>,
     served_requests: Arc<Mutex<RetryDelays>>,
     caller_ages: Mutex<CallerAges>,
+    hedging: Mutex<Hedging>,
     trials: Mutex<crate::trials::TrialStats>,
     told_conditions: Mutex<ToldConditions>,
     local_server: Mutex<LocalServerState>,
@@ -156,6 +157,7 @@
             retry_budgets: Mutex::default(),
             served_requests,
             caller_ages: Mutex::default(),
+            hedging: Mutex::default(),
             trials: Mutex::default(),
             told_conditions: Mutex::default(),
             local_server: Mutex::new(local_server),
@@ -216,6 +218,34 @@
         change(budget)
     }
 
+    /// Locks and returns the state of hedged requests.
+    pub fn hedging(&self) -> MutexGuard<'_, Hedging> {
+        lock(&self.hedging)
+    }
+
+    /// Returns this proxy's part of the hedged requests that the operators allow.
+    pub fn hedge_limit(&self) -> HedgeLimit {
+        let policy = self.settings.load().policy.hedging;
+        HedgeLimit {
+            share: policy.share,
+            burst: policy.burst / self.view.load().proxies.max(1) as f64,
+        }
+    }
+
+    /// Counts a request of a service towards the budget of hedged requests, if hedging is on.
+    pub fn count_hedgeable(&self, service: &ServiceName) {
+        if self.settings.load().policy.hedging.is_enabled() {
+            self.hedging().deposit(service, self.hedge_limit());
+        }
+    }
+
+    /// Records the time from an attempt to its response, if hedging is on.
+    pub fn observe_response(&self, route: u64, time: Millis) {
+        if self.settings.load().policy.hedging.is_enabled() {
+            self.hedging().observe(self.now(), route, time);
+        }
+    }
+
     /// Returns the smoothed size of the answers on a route as sent between proxies, in bytes; zero
     /// before the first one.
     pub fn usual_answer_bytes(&self, route: &str) -> f64 {
--- a/crates/traffic/src/admission.rs
+++ b/crates/traffic/src/admission.rs
@@ -221,6 +221,11 @@
         self.slots > 0 && wait <= max_wait && now + wait < request.expires
     }
 
+    /// Returns whether a slot is free for which no request waits, while no rate limit is in force.
+    pub fn has_idle_slot(&self, now: Millis) -> bool {
+        self.is_free(now, 0) && self.limiter.rate().is_none()
+    }
+
     /// Returns whether a request may run now, after `upcoming` others.
     fn is_free(&self, now: Millis, upcoming: u32) -> bool {
         let has_slot = self.running + upcoming < self.slots;
--- a/crates/traffic/src/offers.rs
+++ b/crates/traffic/src/offers.rs
@@ -147,6 +147,23 @@
         self.reached
     }
 
+    /// Returns whether a hedged request may be sent besides an attempt that is running: the request
+    /// may be repeated, and both attempts stay within the limit.
+    pub fn may_hedge(&self) -> bool {
+        let with_both = self.reached + 2;
+        self.repeat == RepeatPolicy::Idempotent && self.crashes == 0 && with_both <= self.limit
+    }
+
+    /// Records a hedged request that reached a backend server, as well as the attempt that is
+    /// recorded by [`RetryState::handle`].
+    pub fn record_hedge(&mut self, instance: InstanceId, verdict: Verdict) {
+        self.tried.insert(instance);
+        if verdict != Verdict::NotRun {
+            self.reached += 1;
+            self.verdict = self.verdict.join(verdict);
+        }
+    }
+
     /// Takes the last failure that a backend server answered with.
     pub fn take_failure(&mut self) -> Option<ServerAnswer> {
         self.failure.take()
--- a/crates/traffic/src/retry.rs
+++ b/crates/traffic/src/retry.rs
@@ -49,6 +49,11 @@
         self.tokens = (self.tokens + self.share).min(self.burst);
     }
 
+    /// Returns a retry that was taken but not made.
+    pub fn refund(&mut self) {
+        self.tokens = (self.tokens + 1.0).min(self.burst);
+    }
+
     /// Returns a view of the budget that keeps `fraction` of the burst in reserve.
     pub fn with_reserve(&mut self, fraction: f64) -> ReservedBudget<'_> {
         let reserve = self.burst * fraction;
