--- a/crates/traffic/src/hedging.rs
+++ b/crates/traffic/src/hedging.rs
@@ -24,9 +24,11 @@
 /// Quantile of the response times after which a request is hedged.
 const DELAY_QUANTILE: f64 = 0.95;
 /// Responses of a route below which its quantile is not used.
-const MIN_RESPONSES: f64 = 100.0;
+const MIN_RESPONSES: f64 = 20.0;
 /// Number of responses at which all counts of a route are halved, so that old ones fade.
 const MAX_RESPONSES: f64 = 1000.0;
+/// Time allowed for the run of a copy before the target, relative to the typical run time.
+const RUN_ALLOWANCE: f64 = 1.3;
 /// Shortest delay.
 const MIN_DELAY: Millis = Millis(20);
 /// Upper bound of the first bucket of response times, in milliseconds.
@@ -137,13 +139,17 @@
         self.responses.touch(now, route).observe(time);
     }
 
-    /// Returns the time without a response after which a request on `route` is hedged, or `None`
+    /// Returns the time without a response after which a request on `route` is hedged: the high
+    /// quantile, or earlier so that the copy can still be answered by the target. Returns `None`
     /// if too few responses are known or a hedged request would have no time for its run.
     pub fn delay(&self, route: u64, times: HedgeTimes) -> Option<Millis> {
         let known = self.responses.get(route);
         let known = known.filter(|h| h.total >= MIN_RESPONSES)?;
         let delay = known.quantile(DELAY_QUANTILE);
-        let delay = delay.max(MIN_DELAY).min(times.target.max(MIN_DELAY));
+        // A copy that is sent later could not be answered by the target.
+        let run_time = Millis((times.run_time.0 as f64 * RUN_ALLOWANCE) as u64);
+        let latest = times.target.since(run_time);
+        let delay = delay.min(latest).max(MIN_DELAY);
         (delay + times.run_time < times.left).then_some(delay)
     }
 
