--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -5,6 +5,8 @@
 //! and on the retry budget of the service. Once no further attempt is allowed, the outcome says
 //! whether the request certainly did not run (and when to retry it) or may have run.
 
+mod hedge;
+
 use crate::control::Event;
 use crate::dialect::Dialect;
 use crate::gate::Parent;
@@ -41,6 +43,15 @@
 /// calls as well.
 const NESTED_SAFE_FRACTION: f64 = 0.4;
 
+/// Which copy of a request an attempt sends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CopyKind {
+    /// The request itself.
+    Original,
+    /// A second copy, because the original has no response yet.
+    Hedge,
+}
+
 /// One request to dispatch.
 #[derive(Debug)]
 pub struct Call<'a> {
@@ -138,6 +149,7 @@
     if !call.is_nested() {
         shared.with_budget(call.service, RetryBudget::deposit);
     }
+    shared.count_hedgeable(call.service);
     let crashes = shared.strikes.load().count(call.fingerprint);
     if crashes >= MAX_CRASHES {
         return FinalOutcome::Refused(RefusalReason::Crashing, call.deadline.since(shared.now()));
@@ -156,12 +168,16 @@
         let Some(target) = targets.iter().find(|t| t.instance == instance) else {
             return call.give_up(shared, retry_state, &candidates, None);
         };
-        let end = call.attempt(shared, target, &retry_state).await;
+        let (target, end) = call
+            .attempt_hedged(shared, targets, target, &mut retry_state)
+            .await;
+        let instance = target.instance;
         call.observe_trial(shared, side, &end, now);
         if let AttemptEnd::Answered(answer) = &end
             && answer.status < 500
         {
             call.progress.set_may_have_run(true);
+            shared.observe_response(call.route_fingerprint(), shared.now().since(now));
             if answer.status < 300 && shared.strikes.load().count(call.fingerprint) > 0 {
                 shared.send_event(Event::StrikesCleared(call.fingerprint));
             }
@@ -221,11 +237,12 @@
     }
 
     /// Returns the properties for scheduling at the gate, or `None` if there are none to tell.
-    fn class(&self) -> Option<AttemptClass> {
+    fn class(&self, copy: CopyKind) -> Option<AttemptClass> {
         let organisation = self.caller.organisation_id();
-        organisation.map(|id| AttemptClass {
-            organisation: Some(id),
-            is_hedge: false,
+        let is_hedge = copy == CopyKind::Hedge;
+        (organisation.is_some() || is_hedge).then_some(AttemptClass {
+            organisation,
+            is_hedge,
         })
     }
 
@@ -320,8 +337,9 @@
         shared: &Arc<Shared<D>>,
         target: &Target,
         retry_state: &RetryState,
+        copy: CopyKind,
     ) -> AttemptEnd {
-        let attempt = self.make_attempt(shared, target, retry_state);
+        let attempt = self.make_attempt(shared, target, retry_state, copy);
         let mut in_flight = InFlightGuard {
             shared,
             instance: target.instance,
@@ -357,6 +375,7 @@
         shared: &Shared<D>,
         target: &Target,
         retry_state: &RetryState,
+        copy: CopyKind,
     ) -> Box<AttemptRequest> {
         let now = shared.now();
         let left = self.deadline.since(now);
@@ -402,7 +421,7 @@
                 answer_bytes: shared.usual_answer_bytes(&self.route.name) as u64,
                 body_bytes: 0,
                 condition: shared.told_conditions().get(target.instance),
-                class: self.class(),
+                class: self.class(copy),
             },
             service: self.service.clone(),
             version: target.version.clone(),
