Run pipelined requests of one connection concurrently

The origin served one request of a connection at a time. It now reads ahead once a request begins to arrive while another runs, and runs up to 8 requests side by side if their routes are idempotent, their bodies short and the connection stays open; responses are written in order. Other requests wait until those before them are answered, with their bodies unread. `pipeline` decides, `ingress::pipelined` reads and writes; `ingress::connection` holds the serial path, which allocates nothing more.

--- a/crates/proxy/src/ingress.rs
+++ b/crates/proxy/src/ingress.rs
@@ -1,4 +1,10 @@
 //! Accepts HTTP requests from callers and from the local backend server, and answers them.
+//!
+//! [`connection`] reads requests and writes responses; [`pipelined`] does so while several requests
+//! of one connection run.
+
+mod connection;
+mod pipelined;
 
 use crate::dialect::{CallerMetadata, Dialect};
 use crate::dispatch::{Call, FinalOutcome, Progress, RefusalReason, dispatch};
@@ -8,63 +14,31 @@
 use crate::view::{ServiceView, View};
 use async_std::future::timeout;
 use async_std::net::TcpListener;
-use futures_lite::FutureExt;
 use rf_base::ids::hash_key;
 use rf_base::{Millis, ServiceName, Verdict};
-use rf_config::{CallerLimits, PathRoute};
+use rf_config::PathRoute;
 use rf_protocol::relay::{Payload, ServerAnswer};
-use rf_transport::h1::{
-    Connection, Framing, Headers, ReadError, ReadLimits, RequestHead, ResponseHead, frame_request,
-};
+use rf_transport::h1::{Headers, RequestHead, ResponseHead};
 use std::sync::Arc;
 use tracing::{Instrument, debug_span, info};
 
 /// Time after the deadline within which the final answer may still be produced, so that an answer
 /// that comes at the deadline, or the response that there is none, still reaches the caller.
 const ANSWER_GRACE: Millis = Millis(80);
-/// Maximum number of bytes that a caller may send ahead while its request runs.
-const MAX_READ_AHEAD: usize = 64 * 1024;
-/// Time added to the idle time that callers are promised before their connection is closed.
-const IDLE_GRACE: Millis = Millis(1000);
 /// Retry delay given to a caller while no route table or service is known, or after its request
 /// ran out of time without being run.
 const DEFAULT_RETRY: Millis = Millis(300);
 /// Retry delay given to a caller whose request could not finish before the process stops.
 const STOPPING_RETRY: Millis = Millis(100);
-/// Retry delay given to a caller while the memory budget for requests is exhausted.
-const MEMORY_RETRY: Millis = Millis(200);
-
 /// Accepts connections and serves callers until the task is dropped.
 pub async fn serve<D: Dialect>(shared: Arc<Shared<D>>, listener: TcpListener) {
     let connections = shared.settings.load().limits.max_connections();
     accept(listener, connections, move |connection| {
-        serve_connection(shared.clone(), connection)
+        connection::serve_connection(shared.clone(), connection)
     })
     .await;
 }
 
-async fn serve_connection<D: Dialect>(shared: Arc<Shared<D>>, mut connection: Connection) {
-    loop {
-        let limits = shared.view.load().table.limits;
-        let idle = limits.idle_time + IDLE_GRACE;
-        match timeout(idle.duration(), connection.wait_readable()).await {
-            Ok(Ok(())) => {}
-            _ => return,
-        }
-        let next_step = serve_request(&shared, &mut connection, &limits).await;
-        if next_step != NextStep::KeepOpen {
-            return;
-        }
-    }
-}
-
-/// What to do with a connection after a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum NextStep {
-    KeepOpen,
-    Close,
-}
-
 /// A request that was read completely.
 struct Received {
     head: RequestHead,
@@ -76,147 +50,12 @@
     _memory: MemoryReservation,
 }
 
-async fn serve_request<D: Dialect>(
-    shared: &Arc<Shared<D>>,
-    connection: &mut Connection,
-    limits: &CallerLimits,
-) -> NextStep {
-    let _guard = shared.count_call();
-    let reading = read_request(shared, connection, limits);
-    let received = match timeout(limits.head_time.duration(), reading).await {
-        Ok(Ok(received)) => received,
-        Ok(Err(refusal)) => return refuse(shared, connection, refusal).await,
-        Err(_) => return refuse(shared, connection, Refusal::status(408)).await,
-    };
-    let keeps_open = received.head.is_keep_alive();
-    let is_head = received.head.method == "HEAD";
-    let answering = async { Some(answer(shared, received).await) };
-    let disconnecting = async {
-        connection.wait_closed(MAX_READ_AHEAD).await;
-        None
-    };
-    let Some(response) = answering.or(disconnecting).await else {
-        return NextStep::Close;
-    };
-    let should_close = !keeps_open || shared.is_stopping();
-    let _reservation = shared.link.reserve(response.body.len() as u64);
-    write_response(shared, connection, response, should_close, is_head).await
-}
-
-/// A request that is refused while it is being read.
-struct Refusal {
-    status: u16,
-    retry: Option<Millis>,
-}
-
-impl Refusal {
-    fn status(status: u16) -> Refusal {
-        Refusal {
-            status,
-            retry: None,
-        }
-    }
-}
-
-async fn read_request<D: Dialect>(
-    shared: &Shared<D>,
-    connection: &mut Connection,
-    limits: &CallerLimits,
-) -> Result<Received, Refusal> {
-    let limits = ReadLimits {
-        head: limits.head,
-        body: limits.body,
-    };
-    let head = connection.read_request(&limits).await;
-    let head = head.map_err(|e| Refusal::status(status_of(&e)))?;
-    let start = shared.now();
-    let framing = frame_request(&head).map_err(|_| Refusal::status(400))?;
-    let expected = match framing {
-        Framing::Length(n) => n,
-        _ => 0,
-    };
-    let memory = shared.request_memory.reserve(expected).ok_or(Refusal {
-        status: 503,
-        retry: Some(MEMORY_RETRY),
-    })?;
-    if head.headers.has_token("expect", "100-continue") {
-        let interim = b"HTTP/1.1 100 Continue\r\n\r\n";
-        let sent = connection.write(interim).await;
-        sent.map_err(|_| Refusal::status(400))?;
-    }
-    let body = connection.read_body(framing, &limits).await;
-    let body = body.map_err(|e| Refusal::status(status_of(&e)))?;
-    let metadata = shared.dialect.read_caller(&head.headers);
-    let parent = shared.dialect.parent_request_id(&metadata.request_id);
-    let parent = parent.and_then(|id| shared.gate.parent(id));
-    Ok(Received {
-        head,
-        body,
-        metadata,
-        start,
-        parent,
-        _memory: memory,
-    })
-}
-
-fn status_of(error: &ReadError) -> u16 {
-    match error {
-        ReadError::HeadTooLarge { .. } => 431,
-        ReadError::BodyTooLarge { .. } => 413,
-        _ => 400,
-    }
-}
-
-/// Answers a request that was not read completely. Its connection can't be reused, as the rest of
-/// the request may still arrive on it.
-async fn refuse<D: Dialect>(
-    shared: &Shared<D>,
-    connection: &mut Connection,
-    refusal: Refusal,
-) -> NextStep {
-    let status = refusal.status;
-    info!(event = "request.unread", status);
-    let mut head = ResponseHead::new(status);
-    if let Some(wait) = refusal.retry {
-        shared.dialect.set_retry_after(&mut head.headers, wait);
-    }
-    let response = Response {
-        head,
-        body: Vec::new(),
-    };
-    write_response(shared, connection, response, true, false).await
-}
-
 /// A response to a caller.
 struct Response {
     head: ResponseHead,
     body: Vec<u8>,
 }
 
-async fn write_response<D>(
-    shared: &Shared<D>,
-    connection: &mut Connection,
-    mut response: Response,
-    should_close: bool,
-    is_head: bool,
-) -> NextStep {
-    if should_close {
-        response.head.headers.add("Connection", "close");
-    }
-    let has_body = !matches!(response.head.status, 204 | 304);
-    let mut bytes = response
-        .head
-        .encode(has_body.then_some(response.body.len()));
-    if !is_head {
-        bytes.append(&mut response.body);
-    }
-    let result = shared.send_scheduler.write(connection, &bytes).await;
-    match result.is_ok() && !should_close {
-        true => NextStep::KeepOpen,
-        false => NextStep::Close,
-    }
-}
-
 async fn answer<D: Dialect>(shared: &Arc<Shared<D>>, received: Received) -> Response {
     let view = shared.view.load_full();
     let host = received.head.headers.get("host").unwrap_or_default();
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod local;
 pub mod metrics;
 pub mod peers;
+pub mod pipeline;
 pub mod process;
 pub mod receiving;
 pub mod relay;
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -1,8 +1,8 @@
 //! Prometheus metrics of the proxy.
 
 use prometheus::{
-    Encoder, Gauge, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Gauge, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 
 /// Upper bounds of the latency histogram buckets, in seconds.
@@ -18,6 +18,9 @@
     pub requests: IntCounterVec,
     /// Time from a caller's request to its final answer, in seconds, by service.
     pub request_seconds: HistogramVec,
+    /// Requests that were started before the response to an earlier one of their connection was
+    /// written.
+    pub pipelined: IntCounter,
     /// Attempts that this proxy sent, by outcome.
     pub attempts: IntCounterVec,
     /// Attempts that the gate of the local backend server handled, by outcome.
@@ -64,6 +67,10 @@
             let gauge = IntGauge::with_opts(options(name, help));
             register(&registry, gauge.expect("the options of a gauge are valid"))
         };
+        let pipelined = IntCounter::with_opts(options(
+            "pipelined_total",
+            "Requests started beside earlier ones of their connection",
+        ));
         let server_limit = Gauge::with_opts(options(
             "server_limit",
             "Requests per second that the server takes, -1 without a limit",
@@ -89,6 +96,10 @@
                 &registry,
                 seconds.expect("the options of a histogram are valid"),
             ),
+            pipelined: register(
+                &registry,
+                pipelined.expect("the options of a counter are valid"),
+            ),
             attempts: counters("attempts_total", "Attempts sent", &["end"]),
             runs: counters("runs_total", "Attempts taken by the gate", &["end"]),
             ledger_queries: counters("ledger_asks_total", "Questions to ledgers", &["answer"]),
--- a/crates/proxy/src/sending.rs
+++ b/crates/proxy/src/sending.rs
@@ -7,7 +7,9 @@
 
 use async_lock::Semaphore;
 use async_std::future::timeout;
+use async_std::net::TcpStream;
 use async_std::task;
+use futures_lite::AsyncWriteExt;
 use rf_base::{Clock, Millis};
 use rf_traffic::Link;
 use rf_traffic::link::Pacer;
@@ -56,15 +58,25 @@
     ///
     /// Returns the I/O error if the connection fails.
     pub async fn write(&self, connection: &mut Connection, bytes: &[u8]) -> io::Result<()> {
+        self.write_stream(&mut connection.writer(), bytes).await
+    }
+
+    /// Writes all of `bytes` like [`SendScheduler::write`], to a stream whose connection may be
+    /// read meanwhile.
+    ///
+    /// # Errors
+    ///
+    /// Returns the I/O error if the connection fails.
+    pub async fn write_stream(&self, stream: &mut TcpStream, bytes: &[u8]) -> io::Result<()> {
         let length = bytes.len() as u64;
         if length < LONG_ANSWER {
             self.pacer().record_sent(self.clock.now(), length);
-            return connection.write(bytes).await;
+            return stream.write_all(bytes).await;
         }
         let permit = self.permits.acquire().await;
         let permit_timeout =
             Millis(self.link.transfer_time(length).0 * PERMIT_FACTOR) + PERMIT_GRACE;
-        let mut writing = pin!(self.write_chunks(connection, bytes));
+        let mut writing = pin!(self.write_chunks(stream, bytes));
         if let Ok(result) = timeout(permit_timeout.duration(), &mut writing).await {
             return result;
         }
@@ -72,10 +84,10 @@
         writing.await
     }
 
-    async fn write_chunks(&self, connection: &mut Connection, bytes: &[u8]) -> io::Result<()> {
+    async fn write_chunks(&self, stream: &mut TcpStream, bytes: &[u8]) -> io::Result<()> {
         for chunk in bytes.chunks(CHUNK_LENGTH) {
             self.pace(chunk.len() as u64).await;
-            connection.write(chunk).await?;
+            stream.write_all(chunk).await?;
         }
         Ok(())
     }
