Order the admission queue by what each organisation was granted recently

Callers of 20 organisations lost a third of their answers when another one sent six times its usual load: the queue served whoever asked most. Cause: among requests of one class the gate ordered by target time alone, so served parts followed demand. Among requests of one class the organisation that was granted least goes first; requests that others have overtaken yield once they can no longer get a slot in time. Work that waits counts as granted when waits are predicted. Late requests yield to refused timely ones only of organisations granted no more. Nested calls take no part.

--- a/crates/traffic/src/admission.rs
+++ b/crates/traffic/src/admission.rs
@@ -25,6 +25,9 @@
 //!   hold a slot that an answer in time needs. Once no such refusal has happened for the time of a
 //!   run, late requests use the remaining slots.
 //!
+//! - Organisations that compete for the server: among requests of one class, those of the
+//!   organisation that was granted least recently go first, and requests that others have overtaken
+//!   yield once they can no longer get a slot in time ([`crate::fair_share`]).
 //! - A backend server that names a limit on the requests per second that it takes: requests wait
 //!   for the rate in the same order as for a slot, and are refused at once if the wait would be too
 //!   long. The owner of the queue calls [`Queue::poll`] when [`Queue::next_start`] has passed.
@@ -33,6 +36,7 @@
 //! while a slot is free and the rate limit allows a run.
 
 use crate::StartLimiter;
+use crate::fair_share::{FairShare, Organisation, Turn, Turns, overtaken, set_share, take_first};
 use crate::recent::RecentRoutes;
 use rf_base::{Millis, OrganisationId, RequestRate};
 use std::collections::BTreeMap;
@@ -63,6 +67,14 @@
     pub organisation: Option<OrganisationId>,
 }
 
+impl SlotRequest {
+    /// Returns the organisation that the request counts for in fair sharing; nested calls count for
+    /// none.
+    fn sharer(&self) -> Organisation {
+        self.organisation.filter(|_| !self.is_nested)
+    }
+}
+
 /// Identifier of a waiting request, in order of arrival.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct WaitId(u64);
@@ -86,17 +98,29 @@
     /// Requests that expired while they waited.
     pub expired: Vec<WaitId>,
     /// Requests that will miss their target, removed because requests that could meet theirs were
-    /// refused.
+    /// refused, and requests that can no longer get a slot in time because other organisations
+    /// have overtaken them.
     pub yielded: Vec<WaitId>,
 }
 
-/// Sort key of waiting requests; the smallest is granted first.
+/// Order of waiting requests regardless of their organisations; the smallest is granted first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Rank {
+struct Class {
     is_new: bool,
     is_last: bool,
     priority: u8,
-    target: Millis,
+}
+
+impl Class {
+    /// Returns the class of a request whose run takes about `run_ms` milliseconds.
+    fn of(now: Millis, request: &SlotRequest, run_ms: f64) -> Class {
+        let is_late = now + Millis(run_ms as u64) > request.target;
+        Class {
+            is_new: !request.is_nested,
+            is_last: !request.is_nested && (is_late || request.is_best_effort),
+            priority: request.priority,
+        }
+    }
 }
 
 /// Admission queue of one backend server.
@@ -111,8 +135,9 @@
     /// Average run time of each route, in milliseconds.
     routes: RecentRoutes<Option<f64>>,
     limiter: StartLimiter,
-    /// Time of the last refusal of a request that could have met its target.
-    timely_refused_at: Option<Millis>,
+    fair_share: FairShare,
+    /// Number of requests that yielded because other organisations had overtaken them.
+    fair_yields: u64,
     settings: QueueSettings,
 }
 
@@ -150,7 +175,8 @@
             average_run: None,
             routes: RecentRoutes::new(MAX_ROUTES),
             limiter: StartLimiter::default(),
-            timely_refused_at: None,
+            fair_share: FairShare::default(),
+            fair_yields: 0,
             settings,
         }
     }
@@ -186,14 +212,18 @@
 
     /// Requests a slot, waiting up to `max_wait` for it.
     pub fn request(&mut self, now: Millis, request: SlotRequest, max_wait: Millis) -> SlotDecision {
+        if !request.is_nested && !request.is_best_effort {
+            let run = self.expected_run_of(request.route);
+            self.fair_share.request(now, request.sharer(), run);
+        }
         if !self.would_admit(now, &request, max_wait, 0) {
             if !self.is_late(now, &request) {
-                self.timely_refused_at = Some(now);
+                self.fair_share.refuse_timely(now, request.sharer());
             }
             return SlotDecision::Refuse(self.time_to_slot(now));
         }
         if self.is_free(now, 0) {
-            self.start(now);
+            self.start(now, &request);
             return SlotDecision::Run;
         }
         self.last_id += 1;
@@ -232,8 +262,12 @@
         self.running < self.slots && self.limiter.wait(now, 0) == Millis::ZERO
     }
 
-    fn start(&mut self, now: Millis) {
+    fn start(&mut self, now: Millis, request: &SlotRequest) {
         debug_assert!(self.has_room(now));
+        if !request.is_nested {
+            let run = self.expected_run_of(request.route);
+            self.fair_share.grant(now, request.sharer(), run);
+        }
         self.running += 1;
         self.limiter.begin(now);
     }
@@ -279,6 +313,11 @@
         self.slots
     }
 
+    /// Returns how many requests have yielded so far because other organisations had overtaken them.
+    pub fn fair_yields(&self) -> u64 {
+        self.fair_yields
+    }
+
     /// Returns the average run time over all routes, or zero before any run has ended.
     pub fn average_run(&self) -> Millis {
         Millis(self.average_run.unwrap_or_default() as u64)
@@ -306,29 +345,71 @@
     }
 
     fn expected_wait(&self, now: Millis, request: &SlotRequest, upcoming: u32) -> Millis {
-        let rank = self.rank(now, request);
-        let is_ahead = |w: &&SlotRequest| self.rank(now, w) <= rank;
-        let ahead = upcoming + self.waiting.values().filter(is_ahead).count() as u32;
+        let (count, work) = self.ahead(now, request);
+        self.wait_behind(now, count, work, upcoming)
+    }
+
+    /// Returns the expected wait behind `count` waiting requests, whose runs take `work`
+    /// milliseconds in all, and another `upcoming` ones.
+    fn wait_behind(&self, now: Millis, count: u32, work: f64, upcoming: u32) -> Millis {
+        let ahead = upcoming + count;
         let slot_wait = match self.running + ahead < self.slots {
             true => 0.0,
-            false => self.drain_time(self.waiting.values().filter(is_ahead), upcoming),
+            false => self.drain_time(work, upcoming),
         };
         Millis(slot_wait as u64).max(self.limiter.wait(now, ahead))
     }
 
+    /// Returns the number and the total expected run time, in milliseconds, of the waiting requests
+    /// that get their slots before `request`.
+    fn ahead(&self, now: Millis, request: &SlotRequest) -> (u32, f64) {
+        let class = Class::of(now, request, self.expected_run_of(request.route));
+        let organisation = request.sharer();
+        let shares = self.fair_share.shares(now);
+        let (mut count, mut work, mut own_work) = (0, 0.0, 0.0);
+        let mut others = Vec::new();
+        let mut turns = Turns::new(shares);
+        for waiting in self.waiting.values() {
+            let run = self.expected_run_of(waiting.route);
+            let other_class = Class::of(now, waiting, run);
+            if other_class == class && waiting.sharer() != organisation {
+                let share = turns.take(waiting.sharer(), run);
+                others.push((share, waiting.target, run));
+                continue;
+            }
+            if (other_class, waiting.target) <= (class, request.target) {
+                count += 1;
+                work += run;
+                own_work += if other_class == class { run } else { 0.0 };
+            }
+        }
+        let own_share = shares.of(organisation) + Millis(own_work as u64);
+        let own = (own_share, request.target);
+        for (_, _, run) in others.iter().filter(|(s, t, _)| (*s, *t) <= own) {
+            count += 1;
+            work += run;
+        }
+        (count, work)
+    }
+
     /// Returns the time until a slot is expected to be free for one more request, and the rate
     /// limit to allow it.
     pub fn time_to_slot(&self, now: Millis) -> Millis {
-        let slot_wait = self.drain_time(self.waiting.values(), 0).max(1.0);
+        let slot_wait = self.drain_time(self.waiting_work(), 0).max(1.0);
         Millis(slot_wait as u64).max(self.rate_wait(now))
     }
 
-    /// Returns the expected time until a slot is free after the requests in `ahead` and another
-    /// `upcoming` ones have run, in milliseconds.
-    fn drain_time<'a>(&self, ahead: impl Iterator<Item = &'a SlotRequest>, upcoming: u32) -> f64 {
+    /// Returns the total expected run time of the waiting requests, in milliseconds.
+    fn waiting_work(&self) -> f64 {
+        let waiting = self.waiting.values();
+        waiting.map(|w| self.expected_run_of(w.route)).sum()
+    }
+
+    /// Returns the expected time until a slot is free after `work` milliseconds of runs and another
+    /// `upcoming` runs, in milliseconds.
+    fn drain_time(&self, work: f64, upcoming: u32) -> f64 {
         let slots = f64::from(self.slots.max(1));
         let excess = (self.running + upcoming).saturating_sub(self.slots);
-        let work: f64 = ahead.map(|w| self.expected_run_of(w.route)).sum();
         work / slots + f64::from(excess + 1) * self.release_interval()
     }
 
@@ -340,25 +421,45 @@
     /// Returns whether a late request leaves the slots to others that can still meet their target.
     ///
     /// It does if one of those was refused less than the run time of this request ago, since more
-    /// of them are then expected to arrive before this request would release its slot. Nested calls
+    /// of them are then expected to arrive before this request would release its slot. Refusals of
+    /// organisations that were granted more than the one of this request don't count. Nested calls
     /// never yield, because the request that makes them already holds a slot.
     fn yields(&self, now: Millis, request: &SlotRequest) -> bool {
+        if request.is_nested || !self.settings.idle_late {
+            return false;
+        }
         let span = self.average_run_of(request.route);
-        let is_contended = self
-            .timely_refused_at
-            .is_some_and(|at| now.since(at) < span);
-        self.settings.idle_late && is_contended && !request.is_nested && self.is_late(now, request)
+        let is_late = now + span > request.target;
+        is_late && self.fair_share.is_contended(now, request.sharer(), span)
     }
 
-    /// Returns the sort key of a request, without its order of arrival.
-    fn rank(&self, now: Millis, request: &SlotRequest) -> Rank {
-        let is_late = self.is_late(now, request);
-        Rank {
-            is_new: !request.is_nested,
-            is_last: !request.is_nested && (is_late || request.is_best_effort),
-            priority: request.priority,
-            target: request.target,
-        }
+    /// Returns whether a request may have been overtaken, without working out the order.
+    fn has_overtaken(&self, now: Millis) -> bool {
+        let waiting = self.waiting.values();
+        let Some(earliest) = waiting.map(|w| w.expires).min() else {
+            return false;
+        };
+        let count = self.waiting();
+        self.fair_share.organisations() > 1
+            && now + self.wait_behind(now, count, self.waiting_work(), 0) >= earliest
+    }
+
+    /// Returns the waiting requests with what their order depends on.
+    fn turns(&self, now: Millis) -> Vec<Turn<WaitId, Class>> {
+        let shares = self.fair_share.shares(now);
+        let turn = |(id, request): (&WaitId, &SlotRequest)| {
+            let run_ms = self.expected_run_of(request.route);
+            Turn {
+                id: *id,
+                class: Class::of(now, request, run_ms),
+                organisation: request.sharer(),
+                share: shares.of(request.sharer()),
+                target: request.target,
+                run_ms,
+                expires: request.expires,
+            }
+        };
+        self.waiting.iter().map(turn).collect()
     }
 
     fn grant(&mut self, now: Millis) -> Wakeups {
@@ -370,17 +471,28 @@
         for id in &wakeups.yielded {
             self.waiting.remove(id);
         }
+        if !self.has_room(now) && !self.has_overtaken(now) {
+            return wakeups;
+        }
+        let mut turns = self.turns(now);
         while self.has_room(now) {
-            let first = self
-                .waiting
-                .iter()
-                .min_by_key(|(id, request)| (self.rank(now, request), **id));
-            let Some(id) = first.map(|(id, _)| *id) else {
+            let Some(turn) = take_first(&mut turns) else {
                 break;
             };
-            self.waiting.remove(&id);
-            self.start(now);
-            wakeups.granted.push(id);
+            if let Some(request) = self.waiting.remove(&turn.id) {
+                self.start(now, &request);
+                wakeups.granted.push(turn.id);
+            }
+            let share = self.fair_share.shares(now).of(turn.organisation);
+            set_share(&mut turns, turn.organisation, share);
+        }
+        if self.has_overtaken(now) {
+            let overtaken = overtaken(now, turns, |count, work| {
+                self.wait_behind(now, count, work, 0)
+            });
+            self.waiting.retain(|id, _| !overtaken.contains(id));
+            self.fair_yields += overtaken.len() as u64;
+            wakeups.yielded.extend(overtaken);
         }
         debug_assert!(self.waiting.is_empty() || !self.has_room(now));
         wakeups
