Use the slowness that backend servers state in the queue and in placement

Callers of a service whose servers slow down and recover within half a second waited at slow servers while others were faster, since run times are averages over past runs.

Load reports carry the figure, and placement multiplies run times by it. A malformed header is logged, counted and otherwise ignored. Without the figure all factors are 1.

--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -348,9 +348,10 @@
     ) -> Box<AttemptRequest> {
         let now = shared.now();
         let left = self.deadline.since(now);
-        let run_time = shared
-            .placement()
-            .run_time(&target.candidate, self.route_fingerprint());
+        let run_time =
+            shared
+                .placement()
+                .run_time_at(now, &target.candidate, self.route_fingerprint());
         let policy = shared.settings.load().policy;
         let target_left = self.target().since(now);
         // A nested call that fails wastes the run that made it, so it may wait for all of the time
@@ -465,7 +466,7 @@
             let placement = shared.placement();
             let expected = placement.slot_wait(now, candidates).unwrap_or_default();
             let run_time = candidates.first().map_or(Millis(300), |c| {
-                placement.run_time(c, self.route_fingerprint())
+                placement.run_time_at(now, c, self.route_fingerprint())
             });
             (expected, run_time)
         };
--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -170,6 +170,7 @@
         inner.server = Some(server.clone());
         if inner.condition.set_process(server.process()) {
             inner.started = (0, now);
+            inner.queue.reset_slowness();
             let wakeups = inner.queue.set_rate(now, None);
             inner.wake(now, wakeups);
         }
@@ -200,6 +201,7 @@
 
     /// Returns the load of the backend server, with the average run time of requests on `route`.
     pub fn load(&self, route: u64) -> LoadReport {
+        let now = self.clock.now();
         let inner = self.lock();
         LoadReport {
             running: inner.queue.running(),
@@ -207,9 +209,9 @@
             slots: inner.queue.slots(),
             mean_run: inner.queue.average_run(),
             route_run: inner.queue.average_run_of(route),
-            rate_wait: inner.queue.rate_wait(self.clock.now()),
+            rate_wait: inner.queue.rate_wait(now),
             condition: inner.condition.condition(),
-            slowness: None,
+            slowness: inner.queue.slowness().report(now),
         }
     }
 
@@ -401,7 +403,7 @@
         let start = RunStart {
             route: terms.route,
             priority: terms.priority,
-            is_late: inner.queue.average_run_of(terms.route) > terms.target_left,
+            is_late: inner.queue.run_time(now, terms.route) > terms.target_left,
         };
         let chains = &mut inner.chains;
         match chains.admit(now, start, urgent_share, draw) {
@@ -562,7 +564,7 @@
         for wait_id in wakeups.expired {
             self.answer(wait_id, Err(Rejection::Expired));
         }
-        for wait_id in wakeups.yielded {
+        for wait_id in wakeups.yielded.into_iter().chain(wakeups.returned) {
             self.answer(wait_id, Err(Rejection::Busy(self.queue.time_to_slot(now))));
         }
     }
--- a/crates/proxy/src/gate/permit.rs
+++ b/crates/proxy/src/gate/permit.rs
@@ -56,6 +56,7 @@
             .condition
             .observe(now, process, permit.start, statement);
         self.apply_limit(now, change);
+        self.apply_slowness(now, process, statement);
         let (started, since) = self.started;
         let span = now.since(since);
         let is_due = span >= LIMIT_REPORT_INTERVAL || change.limit.is_some();
@@ -71,6 +72,17 @@
             span,
         }
     }
+
+    /// Applies the slowness that `process` stated, unless another process has replaced it.
+    fn apply_slowness(&mut self, now: Millis, process: u64, statement: &Statement) {
+        let Some(percent) = statement.load.slowness() else {
+            return;
+        };
+        if self.server.as_ref().is_some_and(|s| s.process() == process) {
+            let wakeups = self.queue.observe_slowness(now, percent);
+            self.wake(now, wakeups);
+        }
+    }
 }
 
 impl SlotPermit {
--- a/crates/proxy/src/local.rs
+++ b/crates/proxy/src/local.rs
@@ -6,7 +6,7 @@
 use rf_base::RequestRate;
 use rf_protocol::relay::AttemptRequest;
 use rf_traffic::local_server::{Change, LocalServerState};
-use rf_traffic::{ConditionChange, StatedLimit, Statement};
+use rf_traffic::{ConditionChange, StatedLimit, StatedLoad, Statement};
 use tracing::{info, warn};
 
 /// Opens or closes the gate after a change of the announced state.
@@ -48,6 +48,10 @@
         warn!(event = "server.limit-unreadable", request, instance, error);
         shared.metrics.count_statement("unreadable");
     }
+    if let StatedLoad::Unreadable(error) = &statement.load {
+        warn!(event = "server.load-unreadable", request, instance, error);
+        shared.metrics.count_statement("unreadable-load");
+    }
     let observation = permit.observe_statement(statement);
     if let Some(started) = observation.started {
         let limit = per_second(observation.limit);
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -117,6 +117,7 @@
             decay_reports: mechanisms.decay_reports,
             jitter_scores: mechanisms.jitter_scores,
             route_times: mechanisms.route_time,
+            ..PlacementSettings::default()
         };
         let mut fork = || SeededRandom::new(random.bits());
         Shared {
--- a/crates/proxy/tests/gate.rs
+++ b/crates/proxy/tests/gate.rs
@@ -236,7 +236,7 @@
     task::sleep(Millis(50).duration()).await;
     first.observe_statement(&Statement {
         limit: StatedLimit::Named(RequestRate::per_second(50)),
-        is_leaving: false,
+        ..Statement::default()
     });
     let raised = Instant::now();
     waiting.await.expect("a slot");
--- a/crates/traffic/src/admission.rs
+++ b/crates/traffic/src/admission.rs
@@ -28,12 +28,14 @@
 //! - A backend server that names a limit on the requests per second that it takes: requests wait
 //!   for the rate in the same order as for a slot, and are refused at once if the wait would be too
 //!   long. The owner of the queue calls [`Queue::poll`] when [`Queue::next_start`] has passed.
+//! - A backend server that states that it has become slow: see [`crate::slowness`].
 //!
 //! Invariants: `running` exceeds `slots` only after the slots were reduced, and no request waits
 //! while a slot is free and the rate limit allows a run.
 
 use crate::StartLimiter;
 use crate::recent::RecentRoutes;
+use crate::slowness::{SlownessTracker, WaitingRun, find_overdue};
 use rf_base::{Millis, OrganisationId, RequestRate};
 use std::collections::BTreeMap;
 
@@ -88,6 +90,9 @@
     /// Requests that will miss their target, removed because requests that could meet theirs were
     /// refused.
     pub yielded: Vec<WaitId>,
+    /// Requests that would wait too long since the server became slower, and that another server
+    /// can still answer in time.
+    pub returned: Vec<WaitId>,
 }
 
 /// Sort key of waiting requests; the smallest is granted first.
@@ -106,11 +111,12 @@
     running: u32,
     waiting: BTreeMap<WaitId, SlotRequest>,
     last_id: u64,
-    /// Average run time of all routes together, in milliseconds.
+    /// Average run time of all routes together at the usual speed, in milliseconds.
     average_run: Option<f64>,
-    /// Average run time of each route, in milliseconds.
+    /// Average run time of each route at the usual speed, in milliseconds.
     routes: RecentRoutes<Option<f64>>,
     limiter: StartLimiter,
+    slowness: SlownessTracker,
     /// Time of the last refusal of a request that could have met its target.
     timely_refused_at: Option<Millis>,
     settings: QueueSettings,
@@ -150,6 +156,7 @@
             average_run: None,
             routes: RecentRoutes::new(MAX_ROUTES),
             limiter: StartLimiter::default(),
+            slowness: SlownessTracker::default(),
             timely_refused_at: None,
             settings,
         }
@@ -184,6 +191,53 @@
         self.grant(now)
     }
 
+    /// Applies the slowness that the backend server states, in percent.
+    pub fn observe_slowness(&mut self, now: Millis, percent: u16) -> Wakeups {
+        let is_slower = self.slowness.observe(now, percent);
+        let returned = match is_slower {
+            true => self.find_returned(now),
+            false => Vec::new(),
+        };
+        for id in &returned {
+            self.waiting.remove(id);
+        }
+        Wakeups {
+            returned,
+            ..Wakeups::default()
+        }
+    }
+
+    /// Returns the last stated slowness with its age.
+    pub fn slowness(&self) -> SlownessTracker {
+        self.slowness
+    }
+
+    /// Forgets the stated slowness, because another process answers from now on.
+    pub fn reset_slowness(&mut self) {
+        self.slowness = SlownessTracker::default();
+    }
+
+    /// Returns the waiting requests to hand back after the server became slower.
+    ///
+    /// A best-effort request has no other server left to try, and one that would be late on a
+    /// server of the usual speed gains nothing there.
+    fn find_returned(&self, now: Millis) -> Vec<WaitId> {
+        let mut waiting: Vec<(WaitId, &SlotRequest)> =
+            self.waiting.iter().map(|(id, w)| (*id, w)).collect();
+        waiting.sort_by_key(|(id, w)| (self.rank(now, w), *id));
+        let runs = waiting.into_iter().map(|(id, w)| WaitingRun {
+            id,
+            run_ms: self.run_time(now, w.route).0 as f64,
+            wait_left: w.expires.since(now),
+            may_return: !w.is_best_effort && now + self.average_run_of(w.route) <= w.target,
+        });
+        find_overdue(
+            runs,
+            self.drain_time(now, std::iter::empty(), 0),
+            self.slots,
+        )
+    }
+
     /// Requests a slot, waiting up to `max_wait` for it.
     pub fn request(&mut self, now: Millis, request: SlotRequest, max_wait: Millis) -> SlotDecision {
         if !self.would_admit(now, &request, max_wait, 0) {
@@ -246,7 +300,7 @@
         debug_assert!(self.running > 0);
         self.running = self.running.saturating_sub(1);
         if let Some((route, span)) = run {
-            let span = span.0 as f64;
+            let span = span.0 as f64 / self.slowness.factor(now);
             self.average_run = Some(smooth(self.average_run, span));
             let average = self.routes.touch(now, route);
             *average = Some(smooth(*average, span));
@@ -279,16 +333,23 @@
         self.slots
     }
 
-    /// Returns the average run time over all routes, or zero before any run has ended.
+    /// Returns the average run time over all routes at the usual speed, or zero before any run has
+    /// ended.
     pub fn average_run(&self) -> Millis {
         Millis(self.average_run.unwrap_or_default() as u64)
     }
 
-    /// Returns the average run time of `route`, or that of all routes before a run of it has ended.
+    /// Returns the average run time of `route` at the usual speed, or that of all routes before a
+    /// run of it has ended.
     pub fn average_run_of(&self, route: u64) -> Millis {
         Millis(self.expected_run_of(route) as u64)
     }
 
+    /// Returns the expected time of a run of `route` that starts now.
+    pub fn run_time(&self, now: Millis, route: u64) -> Millis {
+        Millis((self.expected_run_of(route) * self.slowness.factor(now)) as u64)
+    }
+
     fn expected_run(&self) -> f64 {
         self.average_run.unwrap_or(INITIAL_RUN_MS)
     }
@@ -301,8 +362,8 @@
 
     /// Returns the expected time between two releases of a slot while all are taken, in
     /// milliseconds.
-    fn release_interval(&self) -> f64 {
-        self.expected_run() / f64::from(self.slots.max(1))
+    fn release_interval(&self, now: Millis) -> f64 {
+        self.expected_run() * self.slowness.factor(now) / f64::from(self.slots.max(1))
     }
 
     fn expected_wait(&self, now: Millis, request: &SlotRequest, upcoming: u32) -> Millis {
@@ -311,7 +372,7 @@
         let ahead = upcoming + self.waiting.values().filter(is_ahead).count() as u32;
         let slot_wait = match self.running + ahead < self.slots {
             true => 0.0,
-            false => self.drain_time(self.waiting.values().filter(is_ahead), upcoming),
+            false => self.drain_time(now, self.waiting.values().filter(is_ahead), upcoming),
         };
         Millis(slot_wait as u64).max(self.limiter.wait(now, ahead))
     }
@@ -319,22 +380,28 @@
     /// Returns the time until a slot is expected to be free for one more request, and the rate
     /// limit to allow it.
     pub fn time_to_slot(&self, now: Millis) -> Millis {
-        let slot_wait = self.drain_time(self.waiting.values(), 0).max(1.0);
+        let slot_wait = self.drain_time(now, self.waiting.values(), 0).max(1.0);
         Millis(slot_wait as u64).max(self.rate_wait(now))
     }
 
     /// Returns the expected time until a slot is free after the requests in `ahead` and another
     /// `upcoming` ones have run, in milliseconds.
-    fn drain_time<'a>(&self, ahead: impl Iterator<Item = &'a SlotRequest>, upcoming: u32) -> f64 {
+    fn drain_time<'a>(
+        &self,
+        now: Millis,
+        ahead: impl Iterator<Item = &'a SlotRequest>,
+        upcoming: u32,
+    ) -> f64 {
         let slots = f64::from(self.slots.max(1));
         let excess = (self.running + upcoming).saturating_sub(self.slots);
         let work: f64 = ahead.map(|w| self.expected_run_of(w.route)).sum();
-        work / slots + f64::from(excess + 1) * self.release_interval()
+        work * self.slowness.factor(now) / slots
+            + f64::from(excess + 1) * self.release_interval(now)
     }
 
     /// Returns whether a run that started now would end after its target.
     fn is_late(&self, now: Millis, request: &SlotRequest) -> bool {
-        now + self.average_run_of(request.route) > request.target
+        now + self.run_time(now, request.route) > request.target
     }
 
     /// Returns whether a late request leaves the slots to others that can still meet their target.
@@ -343,7 +410,7 @@
     /// of them are then expected to arrive before this request would release its slot. Nested calls
     /// never yield, because the request that makes them already holds a slot.
     fn yields(&self, now: Millis, request: &SlotRequest) -> bool {
-        let span = self.average_run_of(request.route);
+        let span = self.run_time(now, request.route);
         let is_contended = self
             .timely_refused_at
             .is_some_and(|at| now.since(at) < span);
--- a/crates/traffic/src/condition.rs
+++ b/crates/traffic/src/condition.rs
@@ -11,6 +11,7 @@
 //! A proxy that has restarted has read no answer yet. Other proxies repeat what they were told with
 //! each attempt, and it adopts that until the first answer.
 
+use crate::StatedLoad;
 use rf_base::{Millis, RequestRate};
 use rf_protocol::relay::ServerCondition;
 
@@ -21,6 +22,8 @@
     pub limit: StatedLimit,
     /// Whether it leaves.
     pub is_leaving: bool,
+    /// Load of the server, and how long work takes on it.
+    pub load: StatedLoad,
 }
 
 /// Limit in an answer.
--- a/crates/traffic/src/placement.rs
+++ b/crates/traffic/src/placement.rs
@@ -24,9 +24,12 @@
 //!   its gate is added to its score.
 //! - A server that names a limit on its requests per second: its gate reports the wait for the limit,
 //!   which the score includes, so that requests go to servers with room.
+//! - A server that states that work takes longer than usual: its run times are multiplied by the
+//!   figure, which decays with its age ([`crate::slowness`]).
 //! - An unreachable server: it is ejected for a time that doubles with each failure, unless every
 //!   candidate is ejected.
 
+use crate::slowness::decayed_factor;
 use rf_base::{InstanceId, Millis, SeededRandom};
 use rf_protocol::relay::LoadReport;
 use std::collections::{BTreeMap, BTreeSet};
@@ -153,6 +156,8 @@
     pub jitter_scores: bool,
     /// Whether run times are estimated per route.
     pub route_times: bool,
+    /// Whether run times are multiplied by the slowness that servers state.
+    pub use_slowness: bool,
 }
 
 impl Default for PlacementSettings {
@@ -162,6 +167,7 @@
             decay_reports: true,
             jitter_scores: true,
             route_times: true,
+            use_slowness: true,
         }
     }
 }
@@ -260,17 +266,23 @@
         let waits = candidates
             .iter()
             .filter(|c| !self.is_ejected(now, c.instance))
-            .map(|c| self.expected_wait(now, c, self.server_run_time(c, mean_time)));
+            .map(|c| self.expected_wait(now, c, self.current_run_time(now, c, mean_time)));
         waits.min_by(f64::total_cmp).map(|w| Millis(w as u64))
     }
 
-    /// Returns the typical run time of `route` at a candidate.
+    /// Returns the typical run time of `route` at a candidate, at the usual speed of the server.
     pub fn run_time(&self, candidate: &Candidate, route: u64) -> Millis {
         Millis((self.server_run_time(candidate, INITIAL_RUN_MS) * self.route_factor(route)) as u64)
     }
 
+    /// Returns the expected run time of `route` at a candidate now.
+    pub fn run_time_at(&self, now: Millis, candidate: &Candidate, route: u64) -> Millis {
+        let run_time = self.current_run_time(now, candidate, INITIAL_RUN_MS);
+        Millis((run_time * self.route_factor(route)) as u64)
+    }
+
     fn score(&self, now: Millis, candidate: &Candidate, mean_time: f64, route: u64) -> f64 {
-        let run_time = self.server_run_time(candidate, mean_time);
+        let run_time = self.current_run_time(now, candidate, mean_time);
         let wait = self.expected_wait(now, candidate, run_time);
         let load = self.loads.get(&candidate.instance);
         let (failures, transit) = load.map_or((0.0, 0.0), |l| (l.failures, l.transit));
@@ -298,6 +310,17 @@
         *known += (factor - *known) / ROUTE_SMOOTHING;
     }
 
+    /// Returns the expected run time at a candidate now, in milliseconds.
+    fn current_run_time(&self, now: Millis, candidate: &Candidate, mean_time: f64) -> f64 {
+        let load = self.loads.get(&candidate.instance);
+        let load = load.filter(|_| self.settings.use_slowness);
+        let stated = load.and_then(|l| Some((l.report.slowness?, l.reported_at)));
+        let factor = stated.map_or(1.0, |(slowness, at)| {
+            decayed_factor(slowness.percent, slowness.age + now.since(at))
+        });
+        self.server_run_time(candidate, mean_time) * factor
+    }
+
     /// Returns the typical run time at a candidate, in milliseconds.
     fn server_run_time(&self, candidate: &Candidate, mean_time: f64) -> f64 {
         match self.loads.get(&candidate.instance) {
--- a/crates/traffic/tests/condition.rs
+++ b/crates/traffic/tests/condition.rs
@@ -10,7 +10,7 @@
 fn named(rate: u32) -> Statement {
     Statement {
         limit: StatedLimit::Named(RequestRate::per_second(rate)),
-        is_leaving: false,
+        ..Statement::default()
     }
 }
 
@@ -55,7 +55,7 @@
     tracker.observe(Millis(100), PROCESS, Millis(50), &named(10));
     let unreadable = Statement {
         limit: StatedLimit::Unreadable("no number".to_owned()),
-        is_leaving: false,
+        ..Statement::default()
     };
     tracker.observe(Millis(200), PROCESS, Millis(150), &unreadable);
     tracker.observe(Millis(210), PROCESS + 1, Millis(160), &Statement::default());
