--- a/crates/traffic/src/admission.rs
+++ b/crates/traffic/src/admission.rs
@@ -31,6 +31,7 @@
 //! - A backend server that names a limit on the requests per second that it takes: requests wait
 //!   for the rate in the same order as for a slot, and are refused at once if the wait would be too
 //!   long. The owner of the queue calls [`Queue::poll`] when [`Queue::next_start`] has passed.
+//! - A backend server that states that it has become slow: see [`crate::slowness`].
 //!
 //! Invariants: `running` exceeds `slots` only after the slots were reduced, and no request waits
 //! while a slot is free and the rate limit allows a run.
@@ -38,6 +39,7 @@
 use crate::StartLimiter;
 use crate::fair_share::{FairShare, Organisation, Turn, Turns, overtaken, set_share, take_first};
 use crate::recent::RecentRoutes;
+use crate::slowness::{SlownessTracker, WaitingRun, find_overdue};
 use rf_base::{Millis, OrganisationId, RequestRate};
 use std::collections::BTreeMap;
 
@@ -101,6 +103,9 @@
     /// refused, and requests that can no longer get a slot in time because other organisations
     /// have overtaken them.
     pub yielded: Vec<WaitId>,
+    /// Requests that would wait too long since the server became slower, and that another server
+    /// can still answer in time.
+    pub returned: Vec<WaitId>,
 }
 
 /// Order of waiting requests regardless of their organisations; the smallest is granted first.
@@ -130,14 +135,15 @@
     running: u32,
     waiting: BTreeMap<WaitId, SlotRequest>,
     last_id: u64,
-    /// Average run time of all routes together, in milliseconds.
+    /// Average run time of all routes together at the usual speed, in milliseconds.
     average_run: Option<f64>,
-    /// Average run time of each route, in milliseconds.
+    /// Average run time of each route at the usual speed, in milliseconds.
     routes: RecentRoutes<Option<f64>>,
     limiter: StartLimiter,
     fair_share: FairShare,
     /// Number of requests that yielded because other organisations had overtaken them.
     fair_yields: u64,
+    slowness: SlownessTracker,
     settings: QueueSettings,
 }
 
@@ -177,6 +183,7 @@
             limiter: StartLimiter::default(),
             fair_share: FairShare::default(),
             fair_yields: 0,
+            slowness: SlownessTracker::default(),
             settings,
         }
     }
@@ -210,6 +217,49 @@
         self.grant(now)
     }
 
+    /// Applies the slowness that the backend server states, in percent.
+    pub fn observe_slowness(&mut self, now: Millis, percent: u16) -> Wakeups {
+        let is_slower = self.slowness.observe(now, percent);
+        let returned = match is_slower {
+            true => self.find_returned(now),
+            false => Vec::new(),
+        };
+        for id in &returned {
+            self.waiting.remove(id);
+        }
+        Wakeups {
+            returned,
+            ..Wakeups::default()
+        }
+    }
+
+    /// Returns the last stated slowness with its age.
+    pub fn slowness(&self) -> SlownessTracker {
+        self.slowness
+    }
+
+    /// Forgets the stated slowness, because another process answers from now on.
+    pub fn reset_slowness(&mut self) {
+        self.slowness = SlownessTracker::default();
+    }
+
+    /// Returns the waiting requests to hand back after the server became slower.
+    ///
+    /// A best-effort request has no other server left to try, and one that would be late on a
+    /// server of the usual speed gains nothing there.
+    fn find_returned(&self, now: Millis) -> Vec<WaitId> {
+        let mut turns = self.turns(now);
+        let order = std::iter::from_fn(|| take_first(&mut turns));
+        let waiting = order.filter_map(|turn| Some((turn.id, self.waiting.get(&turn.id)?)));
+        let runs = waiting.map(|(id, w)| WaitingRun {
+            id,
+            run_ms: self.run_time(now, w.route).0 as f64,
+            wait_left: w.expires.since(now),
+            may_return: !w.is_best_effort && now + self.average_run_of(w.route) <= w.target,
+        });
+        find_overdue(runs, self.drain_time(now, 0.0, 0), self.slots)
+    }
+
     /// Requests a slot, waiting up to `max_wait` for it.
     pub fn request(&mut self, now: Millis, request: SlotRequest, max_wait: Millis) -> SlotDecision {
         if !request.is_nested && !request.is_best_effort {
@@ -285,7 +335,7 @@
         debug_assert!(self.running > 0);
         self.running = self.running.saturating_sub(1);
         if let Some((route, span)) = run {
-            let span = span.0 as f64;
+            let span = span.0 as f64 / self.slowness.factor(now);
             self.average_run = Some(smooth(self.average_run, span));
             let average = self.routes.touch(now, route);
             *average = Some(smooth(*average, span));
@@ -323,16 +373,23 @@
         self.fair_yields
     }
 
-    /// Returns the average run time over all routes, or zero before any run has ended.
+    /// Returns the average run time over all routes at the usual speed, or zero before any run has
+    /// ended.
     pub fn average_run(&self) -> Millis {
         Millis(self.average_run.unwrap_or_default() as u64)
     }
 
-    /// Returns the average run time of `route`, or that of all routes before a run of it has ended.
+    /// Returns the average run time of `route` at the usual speed, or that of all routes before a
+    /// run of it has ended.
     pub fn average_run_of(&self, route: u64) -> Millis {
         Millis(self.expected_run_of(route) as u64)
     }
 
+    /// Returns the expected time of a run of `route` that starts now.
+    pub fn run_time(&self, now: Millis, route: u64) -> Millis {
+        Millis((self.expected_run_of(route) * self.slowness.factor(now)) as u64)
+    }
+
     fn expected_run(&self) -> f64 {
         self.average_run.unwrap_or(INITIAL_RUN_MS)
     }
@@ -345,8 +402,8 @@
 
     /// Returns the expected time between two releases of a slot while all are taken, in
     /// milliseconds.
-    fn release_interval(&self) -> f64 {
-        self.expected_run() / f64::from(self.slots.max(1))
+    fn release_interval(&self, now: Millis) -> f64 {
+        self.expected_run() * self.slowness.factor(now) / f64::from(self.slots.max(1))
     }
 
     fn expected_wait(&self, now: Millis, request: &SlotRequest, upcoming: u32) -> Millis {
@@ -360,7 +417,7 @@
         let ahead = upcoming + count;
         let slot_wait = match self.running + ahead < self.slots {
             true => 0.0,
-            false => self.drain_time(work, upcoming),
+            false => self.drain_time(now, work, upcoming),
         };
         Millis(slot_wait as u64).max(self.limiter.wait(now, ahead))
     }
@@ -368,7 +425,8 @@
     /// Returns the number and the total expected run time, in milliseconds, of the waiting requests
     /// that get their slots before `request`.
     fn ahead(&self, now: Millis, request: &SlotRequest) -> (u32, f64) {
-        let class = Class::of(now, request, self.expected_run_of(request.route));
+        let factor = self.slowness.factor(now);
+        let class = Class::of(now, request, self.expected_run_of(request.route) * factor);
         let organisation = request.sharer();
         let shares = self.fair_share.shares(now);
         let (mut count, mut work, mut own_work) = (0, 0.0, 0.0);
@@ -376,7 +434,7 @@
         let mut turns = Turns::new(shares);
         for waiting in self.waiting.values() {
             let run = self.expected_run_of(waiting.route);
-            let other_class = Class::of(now, waiting, run);
+            let other_class = Class::of(now, waiting, run * factor);
             if other_class == class && waiting.sharer() != organisation {
                 let share = turns.take(waiting.sharer(), run);
                 others.push((share, waiting.target, run));
@@ -400,27 +458,29 @@
     /// Returns the time until a slot is expected to be free for one more request, and the rate
     /// limit to allow it.
     pub fn time_to_slot(&self, now: Millis) -> Millis {
-        let slot_wait = self.drain_time(self.waiting_work(), 0).max(1.0);
+        let slot_wait = self.drain_time(now, self.waiting_work(), 0).max(1.0);
         Millis(slot_wait as u64).max(self.rate_wait(now))
     }
 
-    /// Returns the total expected run time of the waiting requests, in milliseconds.
+    /// Returns the total expected run time of the waiting requests at the usual speed, in
+    /// milliseconds.
     fn waiting_work(&self) -> f64 {
         let waiting = self.waiting.values();
         waiting.map(|w| self.expected_run_of(w.route)).sum()
     }
 
-    /// Returns the expected time until a slot is free after `work` milliseconds of runs and another
-    /// `upcoming` runs, in milliseconds.
-    fn drain_time(&self, work: f64, upcoming: u32) -> f64 {
+    /// Returns the expected time until a slot is free after `work` milliseconds of runs at the usual
+    /// speed and another `upcoming` runs, in milliseconds.
+    fn drain_time(&self, now: Millis, work: f64, upcoming: u32) -> f64 {
         let slots = f64::from(self.slots.max(1));
         let excess = (self.running + upcoming).saturating_sub(self.slots);
-        work / slots + f64::from(excess + 1) * self.release_interval()
+        work * self.slowness.factor(now) / slots
+            + f64::from(excess + 1) * self.release_interval(now)
     }
 
     /// Returns whether a run that started now would end after its target.
     fn is_late(&self, now: Millis, request: &SlotRequest) -> bool {
-        now + self.average_run_of(request.route) > request.target
+        now + self.run_time(now, request.route) > request.target
     }
 
     /// Returns whether a late request leaves the slots to others that can still meet their target.
@@ -433,7 +493,7 @@
         if request.is_nested || !self.settings.idle_late {
             return false;
         }
-        let span = self.average_run_of(request.route);
+        let span = self.run_time(now, request.route);
         let is_late = now + span > request.target;
         is_late && self.fair_share.is_contended(now, request.sharer(), span)
     }
@@ -452,11 +512,12 @@
     /// Returns the waiting requests with what their order depends on.
     fn turns(&self, now: Millis) -> Vec<Turn<WaitId, Class>> {
         let shares = self.fair_share.shares(now);
+        let factor = self.slowness.factor(now);
         let turn = |(id, request): (&WaitId, &SlotRequest)| {
             let run_ms = self.expected_run_of(request.route);
             Turn {
                 id: *id,
-                class: Class::of(now, request, run_ms),
+                class: Class::of(now, request, run_ms * factor),
                 organisation: request.sharer(),
                 share: shares.of(request.sharer()),
                 target: request.target,
