--- a/crates/transport/src/h1/connection.rs
+++ b/crates/transport/src/h1/connection.rs
@@ -17,6 +17,10 @@
 const MAX_HEADERS: usize = 96;
 /// Maximum number of bytes per read.
 const READ_BYTES: usize = 16 * 1024;
+/// Maximum size of one segment of a body that is being read. A single growing buffer is copied as it
+/// grows, and the allocator keeps the blocks it outgrows: bodies of 32 MiB in total then hold up to
+/// 207 MiB.
+const SEGMENT_BYTES: usize = 64 * 1024;
 /// Number of reads after which the reader yields to other tasks, even if more bytes are available.
 const READS_PER_YIELD: u32 = 16;
 /// Length above which a chunk header or trailer line without an end is malformed.
@@ -69,20 +73,39 @@
 
 /// Destination of a body, which enforces its limits.
 struct Sink<'a, B> {
-    body: Vec<u8>,
+    /// Segments that are full, in order.
+    full: Vec<Vec<u8>>,
+    /// Segment that is being filled.
+    last: Vec<u8>,
+    /// Number of bytes in all segments.
+    length: usize,
     limit: usize,
     budget: &'a B,
 }
 
 impl<B: ByteBudget> Sink<'_, B> {
     fn extend(&mut self, bytes: &[u8]) -> Result<()> {
-        let fits = self.body.len().saturating_add(bytes.len()) <= self.limit;
+        let fits = self.length.saturating_add(bytes.len()) <= self.limit;
         if !fits || !self.budget.try_take(bytes.len()) {
             return Err(ReadError::BodyTooLarge { limit: self.limit });
         }
-        self.body.extend_from_slice(bytes);
+        self.length += bytes.len();
+        if !self.last.is_empty() && self.last.len() + bytes.len() > SEGMENT_BYTES {
+            let next = Vec::with_capacity(SEGMENT_BYTES);
+            self.full.push(std::mem::replace(&mut self.last, next));
+        }
+        self.last.extend_from_slice(bytes);
         Ok(())
     }
+
+    /// Returns the whole body; a body of one segment is not copied.
+    fn into_body(mut self) -> Vec<u8> {
+        if self.full.is_empty() {
+            return self.last;
+        }
+        self.full.push(self.last);
+        self.full.concat()
+    }
 }
 
 /// Error of reading a message.
@@ -307,7 +330,9 @@
         budget: &B,
     ) -> Result<Vec<u8>> {
         let mut sink = Sink {
-            body: Vec::new(),
+            full: Vec::new(),
+            last: Vec::new(),
+            length: 0,
             limit: limits.body,
             budget,
         };
@@ -318,13 +343,13 @@
                 if length > sink.limit {
                     return Err(ReadError::BodyTooLarge { limit: sink.limit });
                 }
-                sink.body.reserve(length.min(READ_BYTES * 8));
+                sink.last.reserve(length.min(SEGMENT_BYTES));
                 self.read_into(&mut sink, length).await?;
             }
             Framing::Chunked => self.read_chunks(&mut sink).await?,
             Framing::UntilClose => self.read_until_close(&mut sink).await?,
         }
-        Ok(sink.body)
+        Ok(sink.into_body())
     }
 
     /// Reads `length` bytes and appends them to `sink`.
@@ -364,7 +389,7 @@
             if length == 0 {
                 break;
             }
-            if sink.body.len().saturating_add(length) > sink.limit {
+            if sink.length.saturating_add(length) > sink.limit {
                 return Err(ReadError::BodyTooLarge { limit: sink.limit });
             }
             self.read_into(sink, length).await?;
