Lend and borrow tokens of quotas between proxies

Callers see nothing yet: requests have no organisation until callers are authenticated. Then a request beyond the quota of its organisation is answered 429 with Retry-After before it is dispatched.

The view publishes the possible owners, the number of known proxies and the quotas by organisation id. A request without a token waits for one message to the owner, which it shares with all that wait for the same owner; after 250 ms the fallback decides. bounds.quotaWindow, quotaOver and quotaSlack are optional, and the template renders with any of them absent. A proxy that announced that it leaves and is unreachable does not count as known, since quotas would otherwise drop for a minute after each planned shutdown.

--- a/crates/config/src/proxy.rs
+++ b/crates/config/src/proxy.rs
@@ -221,6 +221,37 @@
     pub repeat_slack: f64,
     /// Maximum fraction of a service's requests, from 0 to 1, that an unproven version may get.
     pub trial_share: f64,
+    /// Window in which the requests of an organisation are counted against its quota.
+    #[serde_as(as = "SpanText")]
+    #[serde(default = "default_quota_window")]
+    pub quota_window: Millis,
+    /// Permitted excess over a quota in a window, as a fraction from 0 to 1 of what it allows.
+    #[serde(default = "default_quota_over")]
+    pub quota_over: f64,
+    /// Number of additional requests of an organisation permitted in a window.
+    #[serde(default = "default_quota_slack")]
+    pub quota_slack: f64,
+}
+
+/// Largest number of additional requests that is accepted.
+const MAX_QUOTA_SLACK: f64 = 1e6;
+/// Default window in which requests are counted against a quota.
+pub const QUOTA_WINDOW: Millis = Millis(5000);
+/// Default excess over a quota as a fraction.
+pub const QUOTA_OVER: f64 = 0.1;
+/// Default number of additional requests in a window.
+pub const QUOTA_SLACK: f64 = 20.0;
+
+fn default_quota_window() -> Millis {
+    QUOTA_WINDOW
+}
+
+fn default_quota_over() -> f64 {
+    QUOTA_OVER
+}
+
+fn default_quota_slack() -> f64 {
+    QUOTA_SLACK
 }
 
 impl ProxySettings {
@@ -258,6 +289,18 @@
             "bounds.trialShare: not between 0 and 1",
         );
         require(bounds.grace > Millis::ZERO, "bounds.grace: is zero");
+        require(
+            bounds.quota_window > Millis::ZERO,
+            "bounds.quotaWindow: is zero",
+        );
+        require(
+            (0.0..=1.0).contains(&bounds.quota_over),
+            "bounds.quotaOver: not between 0 and 1",
+        );
+        require(
+            (0.0..=MAX_QUOTA_SLACK).contains(&bounds.quota_slack),
+            "bounds.quotaSlack: not between 0 and 1000000",
+        );
         for (name, fraction) in self.policy.fractions() {
             require(
                 (0.0..=1.0).contains(&fraction),
--- a/crates/proxy/src/control/machine.rs
+++ b/crates/proxy/src/control/machine.rs
@@ -6,6 +6,7 @@
 
 use super::event::{Action, Event, ExchangeSender, MessageKind};
 use super::fetch::TableFetch;
+use super::quotas;
 use super::rollouts::RolloutTracker;
 use super::select::{new_incarnations, select, to_target};
 use crate::source::{ProxyEntry, Snapshot, Topic};
@@ -635,6 +636,9 @@
             digest: self.digest.clone(),
             services,
             proxies: roster.reachable().count(),
+            known_proxies: quotas::count_known(roster),
+            peers: quotas::publish_peers(roster, &self.published),
+            quotas: quotas::index_quotas(&self.table, &self.published),
         }
     }
 }
--- a/crates/proxy/src/control/mod.rs
+++ b/crates/proxy/src/control/mod.rs
@@ -7,6 +7,7 @@
 pub mod event;
 pub mod fetch;
 pub mod machine;
+pub mod quotas;
 pub mod rollouts;
 pub mod select;
 pub mod sync;
--- a/crates/proxy/src/ingress.rs
+++ b/crates/proxy/src/ingress.rs
@@ -4,6 +4,7 @@
 use crate::dispatch::{Call, FinalOutcome, Progress, RefusalReason, dispatch};
 use crate::gate::{CallEnd, Parent};
 use crate::listener::accept;
+use crate::quota::{self, QuotaDecision};
 use crate::shared::{MemoryReservation, Shared};
 use crate::view::{ServiceView, View};
 use async_std::future::timeout;
@@ -76,6 +77,14 @@
     _memory: MemoryReservation,
 }
 
+impl Received {
+    /// Returns the time by which the request must be answered.
+    fn deadline(&self, route: &PathRoute) -> Millis {
+        let left = self.metadata.time_left.unwrap_or(route.timeout);
+        self.start + left.min(route.timeout)
+    }
+}
+
 async fn serve_request<D: Dialect>(
     shared: &Arc<Shared<D>>,
     connection: &mut Connection,
@@ -231,6 +240,12 @@
         info!(event = "request.unrouted", request, host, table);
         return empty_response(404);
     };
+    let deadline = received.deadline(route);
+    // Callers are not authenticated yet, so no request has an organisation.
+    let token = match quota::admit(shared, &view, None, shared.now(), deadline).await {
+        QuotaDecision::Admitted(token) => token,
+        QuotaDecision::Refused(wait) => return refused_response(shared, 429, wait),
+    };
     let service = shared.shares().pick(route).cloned();
     let Some(service) = service else {
         return service_unavailable(shared, DEFAULT_RETRY);
@@ -241,6 +256,9 @@
     let span = debug_span!("request", request, route = route.name);
     let ended = run_request(shared, &view, route, &service, received);
     let (response, verdict, reason) = ended.instrument(span).await;
+    if verdict == Verdict::NotRun {
+        quota::put_back(shared, &view, token);
+    }
     let status = response.head.status;
     let took = shared.now().since(start);
     let class = format!("{}xx", status / 100);
@@ -279,8 +297,7 @@
 ) -> (Response, Verdict, &'static str) {
     let none = ServiceView::default();
     let start = received.start;
-    let left = received.metadata.time_left.unwrap_or(route.timeout);
-    let deadline = start + left.min(route.timeout);
+    let deadline = received.deadline(route);
     if shared.ends_before(deadline + ANSWER_GRACE) {
         return (
             service_unavailable(shared, STOPPING_RETRY),
@@ -399,7 +416,11 @@
 }
 
 fn service_unavailable<D: Dialect>(shared: &Shared<D>, wait: Millis) -> Response {
-    let mut response = empty_response(503);
+    refused_response(shared, 503, wait)
+}
+
+fn refused_response<D: Dialect>(shared: &Shared<D>, status: u16, wait: Millis) -> Response {
+    let mut response = empty_response(status);
     shared
         .dialect
         .set_retry_after(&mut response.head.headers, wait);
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod metrics;
 pub mod peers;
 pub mod process;
+pub mod quota;
 pub mod receiving;
 pub mod relay;
 pub mod run;
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -37,6 +37,12 @@
     pub statements: IntCounterVec,
     /// Requests per second that the local backend server takes; -1 if it names no limit.
     pub server_limit: Gauge,
+    /// Requests of organisations with a quota, by how they were decided.
+    pub quota: IntCounterVec,
+    /// Messages to the owners of quotas, by result.
+    pub quota_messages: IntCounterVec,
+    /// Number of organisations with recent claims whose quota this proxy owns.
+    pub quota_owned: IntGauge,
     /// Dropped log lines and control events, by reason.
     pub dropped_lines: IntCounterVec,
     /// Version of the active route table.
@@ -106,6 +112,9 @@
             announcements: counters("announcements_total", "Announcements", &["change"]),
             statements: counters("server_statements_total", "What the server says", &["kind"]),
             server_limit,
+            quota: counters("quota_total", "Requests decided by a quota", &["result"]),
+            quota_messages: counters("quota_messages_total", "Quota messages", &["result"]),
+            quota_owned: gauge("quota_owned", "Organisations whose quota is owned"),
             dropped_lines: counters("log_lines_dropped_total", "Lines dropped", &["reason"]),
             table_version: gauge("table_version", "Route table in force"),
             proxies: gauge("proxies", "Proxies that are reachable"),
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -7,7 +7,7 @@
 use crate::relay::{self, message_limits};
 use crate::sending::LONG_ANSWER;
 use crate::shared::Shared;
-use crate::{compression, local, run};
+use crate::{compression, local, quota, run};
 use async_channel::bounded;
 use async_std::future::timeout;
 use async_std::net::TcpListener;
@@ -117,8 +117,9 @@
         RelayRequest::Fetch(version, digest) => {
             RelayReply::Table(create_patch(shared, version, &digest))
         }
-        // Quotas are not lent yet: an empty reply grants nothing.
-        RelayRequest::Quota(_) => RelayReply::Quota(Box::default()),
+        RelayRequest::Quota(request) => {
+            RelayReply::Quota(Box::new(quota::answer(shared, &request)))
+        }
     };
     Some(Answer {
         reply,
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -3,6 +3,7 @@
 use crate::control::Event;
 use crate::gate::{CallEnd, Gate};
 use crate::metrics::Metrics;
+use crate::quota::Quotas;
 use crate::receiving::ReceiveScheduler;
 use crate::sending::SendScheduler;
 use crate::source::Topic;
@@ -62,6 +63,8 @@
     pub server_pool: Pool,
     /// Topics of the store that this proxy follows itself; set by the control plane.
     pub followed_topics: FollowedTopics,
+    /// Quotas of organisations: borrowed tokens, and the buckets that this proxy owns.
+    pub quotas: Quotas,
     /// Metrics that the process exports.
     pub metrics: Metrics,
     /// Network link of this instance, with the bytes that are reserved on it.
@@ -144,6 +147,7 @@
                 idle_timeout: SERVER_IDLE_TIMEOUT,
             }),
             followed_topics: FollowedTopics::default(),
+            quotas: Quotas::new(instance_id, clock.now(), fork()),
             metrics: Metrics::new(),
             receive_scheduler: ReceiveScheduler::new(settings.limits.link),
             send_scheduler: SendScheduler::new(link.clone(), clock.clone()),
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -1,5 +1,6 @@
 //! Routing state of the data plane: an immutable view that the control plane replaces as a whole.
 
+use crate::control::quotas::{Peers, QuotaIndex};
 use rf_base::{Incarnation, InstanceId, Millis, ServiceName, VersionName};
 use rf_config::{RouteTable, TableDigest};
 use rf_traffic::Candidate;
@@ -58,6 +59,13 @@
     pub zone_peers: BTreeSet<SocketAddr>,
     /// Number of reachable proxies, including this one.
     pub proxies: usize,
+    /// Number of known proxies, including unreachable ones that may be on the other side of a network
+    /// partition.
+    pub known_proxies: usize,
+    /// Relay addresses of the proxies that may own the quota of an organisation.
+    pub peers: Arc<Peers>,
+    /// Organisations of the route table that have a quota.
+    pub quotas: Arc<QuotaIndex>,
 }
 
 impl View {
--- a/crates/standin/src/users/mesh.rs
+++ b/crates/standin/src/users/mesh.rs
@@ -7,7 +7,10 @@
 use async_std::task;
 use rf_base::{Clock, Millis};
 use rf_config::ProxySettings;
-use rf_config::proxy::{Bounds, LoadPolicy, LocalServer, ProcessLimits, ProxyListen};
+use rf_config::proxy::{
+    Bounds, LoadPolicy, LocalServer, ProcessLimits, ProxyListen, QUOTA_OVER, QUOTA_SLACK,
+    QUOTA_WINDOW,
+};
 use rf_platform::{ObjectClient, PlatformDialect, PlatformSource};
 use rf_proxy::Proxy;
 use rf_transport::h1::{Connection, ReadLimits, RequestHead, ResponseHead, frame_response};
@@ -444,6 +447,9 @@
             repeat_share: 0.2,
             repeat_slack: 56.0,
             trial_share: 0.1,
+            quota_window: QUOTA_WINDOW,
+            quota_over: QUOTA_OVER,
+            quota_slack: QUOTA_SLACK,
         },
         policy: LoadPolicy::default(),
         log: "info".to_owned(),
--- a/crates/traffic/src/quota/terms.rs
+++ b/crates/traffic/src/quota/terms.rs
@@ -2,6 +2,7 @@
 
 use rf_base::Millis;
 use rf_config::Quota;
+use rf_config::proxy::{Bounds, QUOTA_OVER, QUOTA_SLACK, QUOTA_WINDOW};
 
 /// Time worth of tokens that a bucket holds at least, in seconds. With a smaller bucket, tokens would
 /// be lost between the claims of borrowers that were refused, which come every 50 ms or later.
@@ -23,9 +24,19 @@
 impl Default for QuotaSettings {
     fn default() -> Self {
         QuotaSettings {
-            window: Millis(5000),
-            over: 0.1,
-            slack: 20.0,
+            window: QUOTA_WINDOW,
+            over: QUOTA_OVER,
+            slack: QUOTA_SLACK,
+        }
+    }
+}
+
+impl From<&Bounds> for QuotaSettings {
+    fn from(bounds: &Bounds) -> QuotaSettings {
+        QuotaSettings {
+            window: bounds.quota_window,
+            over: bounds.quota_over,
+            slack: bounds.quota_slack,
         }
     }
 }
