Divide the slack of the retry budget by the known proxies

During a network partition a service got up to twice the permitted retries: each half divided the slack by the proxies that it reached.

--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -204,14 +204,14 @@
     }
 
     /// Runs `change` on the retry budget of a service, adjusted to the current settings and number
-    /// of proxies.
+    /// of known proxies.
     pub fn with_budget<T>(
         &self,
         service: &ServiceName,
         change: impl FnOnce(&mut RetryBudget) -> T,
     ) -> T {
         let settings = self.settings.load();
-        let (share, burst) = compute_budget(&settings, self.view.load().proxies);
+        let (share, burst) = compute_budget(&settings, self.view.load().known_proxies);
         let mut retry_budgets = lock(&self.retry_budgets);
         let budget = retry_budgets
             .entry(service.clone())
@@ -320,6 +320,9 @@
 
 /// Returns this proxy's part of the retries that all proxies may make together: the retries allowed
 /// as a share of the requests that it accepts, and an equal part of the slack of the whole mesh.
+///
+/// `proxies` includes unreachable ones: divided by the reachable ones, the slack was spent twice by the
+/// halves of a network partition.
 fn compute_budget(settings: &ProxySettings, proxies: usize) -> (f64, f64) {
     let bounds = &settings.bounds;
     let slack = bounds.repeat_slack / proxies.max(1) as f64;
