--- a/crates/proxy/src/ingress.rs
+++ b/crates/proxy/src/ingress.rs
@@ -11,6 +11,7 @@
 use crate::dispatch::{Call, FinalOutcome, Progress, RefusalReason, dispatch};
 use crate::gate::{CallEnd, Parent};
 use crate::listener::accept;
+use crate::quota::{self, QuotaDecision};
 use crate::shared::{MemoryReservation, Shared};
 use crate::view::{ServiceView, View};
 use async_std::future::timeout;
@@ -53,6 +54,14 @@
     _memory: MemoryReservation,
 }
 
+impl Received {
+    /// Returns the time by which the request must be answered.
+    fn deadline(&self, route: &PathRoute) -> Millis {
+        let left = self.metadata.time_left.unwrap_or(route.timeout);
+        self.start + left.min(route.timeout)
+    }
+}
+
 /// A response to a caller.
 struct Response {
     head: ResponseHead,
@@ -78,8 +87,18 @@
         Err(response) => return response,
     };
     let caller = received.caller.clone();
+    let deadline = received.deadline(route);
+    let organisation = caller.organisation_id();
+    let token = match quota::admit(shared, &view, organisation, shared.now(), deadline).await {
+        QuotaDecision::Admitted(token) => token,
+        QuotaDecision::Refused(wait) => {
+            authentication::count_request(shared, &caller, 429, Verdict::NotRun);
+            return refused_response(shared, 429, wait);
+        }
+    };
     let service = shared.shares().pick(route).cloned();
     let Some(service) = service else {
+        quota::put_back(shared, &view, token);
         return service_unavailable(shared, DEFAULT_RETRY);
     };
     let request = received.metadata.request_id.clone();
@@ -88,6 +107,9 @@
     let span = debug_span!("request", request, route = route.name);
     let ended = run_request(shared, &view, route, &service, received);
     let (response, verdict, reason) = ended.instrument(span).await;
+    if verdict == Verdict::NotRun {
+        quota::put_back(shared, &view, token);
+    }
     let status = response.head.status;
     let took = shared.now().since(start);
     let class = format!("{}xx", status / 100);
@@ -149,8 +171,7 @@
 ) -> (Response, Verdict, &'static str) {
     let none = ServiceView::default();
     let start = received.start;
-    let left = received.metadata.time_left.unwrap_or(route.timeout);
-    let deadline = start + left.min(route.timeout);
+    let deadline = received.deadline(route);
     if shared.ends_before(deadline + ANSWER_GRACE) {
         return (
             service_unavailable(shared, STOPPING_RETRY),
@@ -274,7 +295,11 @@
 }
 
 fn service_unavailable<D: Dialect>(shared: &Shared<D>, wait: Millis) -> Response {
-    let mut response = empty_response(503);
+    refused_response(shared, 503, wait)
+}
+
+fn refused_response<D: Dialect>(shared: &Shared<D>, status: u16, wait: Millis) -> Response {
+    let mut response = empty_response(status);
     shared
         .dialect
         .set_retry_after(&mut response.head.headers, wait);
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod peers;
 pub mod pipeline;
 pub mod process;
+pub mod quota;
 pub mod receiving;
 pub mod relay;
 pub mod run;
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -46,6 +46,12 @@
     pub unauthorised: IntCounterVec,
     /// Requests of callers with an organisation, by organisation and result.
     pub organisation_requests: IntCounterVec,
+    /// Requests of organisations with a quota, by how they were decided.
+    pub quota: IntCounterVec,
+    /// Messages to the owners of quotas, by result.
+    pub quota_messages: IntCounterVec,
+    /// Number of organisations with recent claims whose quota this proxy owns.
+    pub quota_owned: IntGauge,
     /// Dropped log lines and control events, by reason.
     pub dropped_lines: IntCounterVec,
     /// Version of the active route table.
@@ -134,6 +140,9 @@
                 "Requests of organisations",
                 &["organisation", "result"],
             ),
+            quota: counters("quota_total", "Requests decided by a quota", &["result"]),
+            quota_messages: counters("quota_messages_total", "Quota messages", &["result"]),
+            quota_owned: gauge("quota_owned", "Organisations whose quota is owned"),
             dropped_lines: counters("log_lines_dropped_total", "Lines dropped", &["reason"]),
             table_version: gauge("table_version", "Route table in force"),
             proxies: gauge("proxies", "Proxies that are reachable"),
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -4,6 +4,7 @@
 use crate::control::Event;
 use crate::gate::{CallEnd, Gate};
 use crate::metrics::Metrics;
+use crate::quota::Quotas;
 use crate::receiving::ReceiveScheduler;
 use crate::sending::SendScheduler;
 use crate::source::Topic;
@@ -63,6 +64,8 @@
     pub server_pool: Pool,
     /// Topics of the store that this proxy follows itself; set by the control plane.
     pub followed_topics: FollowedTopics,
+    /// Quotas of organisations: borrowed tokens, and the buckets that this proxy owns.
+    pub quotas: Quotas,
     /// Metrics that the process exports.
     pub metrics: Metrics,
     /// Network link of this instance, with the bytes that are reserved on it.
@@ -149,6 +152,7 @@
                 idle_timeout: SERVER_IDLE_TIMEOUT,
             }),
             followed_topics: FollowedTopics::default(),
+            quotas: Quotas::new(instance_id, clock.now(), fork()),
             metrics: Metrics::new(),
             receive_scheduler: ReceiveScheduler::new(settings.limits.link),
             send_scheduler: SendScheduler::new(link.clone(), clock.clone()),
@@ -207,14 +211,14 @@
     }
 
     /// Runs `change` on the retry budget of a service, adjusted to the current settings and number
-    /// of proxies.
+    /// of known proxies.
     pub fn with_budget<T>(
         &self,
         service: &ServiceName,
         change: impl FnOnce(&mut RetryBudget) -> T,
     ) -> T {
         let settings = self.settings.load();
-        let (share, burst) = compute_budget(&settings, self.view.load().proxies);
+        let (share, burst) = compute_budget(&settings, self.view.load().known_proxies);
         let mut retry_budgets = lock(&self.retry_budgets);
         let budget = retry_budgets
             .entry(service.clone())
@@ -351,6 +355,9 @@
 
 /// Returns this proxy's part of the retries that all proxies may make together: the retries allowed
 /// as a share of the requests that it accepts, and an equal part of the slack of the whole mesh.
+///
+/// `proxies` includes unreachable ones: divided by the reachable ones, the slack was spent twice by the
+/// halves of a network partition.
 fn compute_budget(settings: &ProxySettings, proxies: usize) -> (f64, f64) {
     let bounds = &settings.bounds;
     let slack = bounds.repeat_slack / proxies.max(1) as f64;
