--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -52,6 +52,8 @@
     pub quota_messages: IntCounterVec,
     /// Number of organisations with recent claims whose quota this proxy owns.
     pub quota_owned: IntGauge,
+    /// Attempts that yielded at the gate because other organisations had overtaken them.
+    pub fair_yields: IntCounter,
     /// Dropped log lines and control events, by reason.
     pub dropped_lines: IntCounterVec,
     /// Version of the active route table.
@@ -79,10 +81,13 @@
             let gauge = IntGauge::with_opts(options(name, help));
             register(&registry, gauge.expect("the options of a gauge are valid"))
         };
-        let pipelined = IntCounter::with_opts(options(
-            "pipelined_total",
-            "Requests started beside earlier ones of their connection",
-        ));
+        let counter = |name: &str, help: &str| {
+            let counter = IntCounter::with_opts(options(name, help));
+            register(
+                &registry,
+                counter.expect("the options of a counter are valid"),
+            )
+        };
         let server_limit = Gauge::with_opts(options(
             "server_limit",
             "Requests per second that the server takes, -1 without a limit",
@@ -108,9 +113,9 @@
                 &registry,
                 seconds.expect("the options of a histogram are valid"),
             ),
-            pipelined: register(
-                &registry,
-                pipelined.expect("the options of a counter are valid"),
+            pipelined: counter(
+                "pipelined_total",
+                "Requests started beside earlier ones of their connection",
             ),
             attempts: counters("attempts_total", "Attempts sent", &["end"]),
             hedges: counters("hedges_total", "Hedged requests", &["result"]),
@@ -143,6 +148,10 @@
             quota: counters("quota_total", "Requests decided by a quota", &["result"]),
             quota_messages: counters("quota_messages_total", "Quota messages", &["result"]),
             quota_owned: gauge("quota_owned", "Organisations whose quota is owned"),
+            fair_yields: counter(
+                "fair_share_yielded_total",
+                "Attempts that yielded to other organisations",
+            ),
             dropped_lines: counters("log_lines_dropped_total", "Lines dropped", &["reason"]),
             table_version: gauge("table_version", "Route table in force"),
             proxies: gauge("proxies", "Proxies that are reachable"),
@@ -164,6 +173,12 @@
         self.statements.with_label_values(&[kind]).inc();
     }
 
+    /// Raises the number of attempts that yielded to other organisations to `total`.
+    pub fn set_fair_yields(&self, total: u64) {
+        let counted = self.fair_yields.get();
+        self.fair_yields.inc_by(total.saturating_sub(counted));
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn encode(&self) -> Vec<u8> {
         let mut text = Vec::new();
