Retry rejected requests on the server that rejected least

Retries chose servers without regard to who rejects, and proxies that never make nested calls kept half of their retry budget for them, unused.

Placement keeps a decaying share of rejections for each server and sends a rejected request next to the server with the lowest.

--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -21,8 +21,8 @@
 use rf_rollout::trial::share_at;
 use rf_traffic::placement::OfferReport;
 use rf_traffic::{
-    Candidate, DelayTimes, OfferEnd, OfferTimes, PlacementRequest, RetryBudget, RetryDecision,
-    RetryState, WaitFractions,
+    Candidate, DelayTimes, OfferEnd, OfferTimes, PlacementRequest, RetryDecision, RetryState,
+    WaitFractions,
 };
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -132,9 +132,10 @@
 ///
 /// It has no time limit of its own: the caller must bound the time.
 pub async fn dispatch<D: Dialect>(shared: &Arc<Shared<D>>, call: Call<'_>) -> FinalOutcome {
-    if !call.is_nested() {
-        shared.with_budget(call.service, RetryBudget::deposit);
-    }
+    shared.with_budget(call.service, |budget| match call.is_nested() {
+        true => budget.record_nested(call.start),
+        false => budget.deposit(),
+    });
     let crashes = shared.strikes.load().count(call.fingerprint);
     if crashes >= MAX_CRASHES {
         return FinalOutcome::Refused(RefusalReason::Crashing, call.deadline.since(shared.now()));
@@ -169,12 +170,14 @@
         }
         call.report_failure(shared, target, &end);
         let kind = end_kind(&end);
-        let reserve = match call.is_nested() {
-            true => 0.0,
-            false => shared.settings.load().policy.nested_reserve,
-        };
+        let reserve = shared.settings.load().policy.nested_reserve;
+        let now = shared.now();
         let next = shared.with_budget(call.service, |budget| {
-            retry_state.handle(instance, end, &mut budget.with_reserve(reserve))
+            let mut budget = match call.is_nested() {
+                true => budget.with_reserve(0.0),
+                false => budget.with_nested_reserve(now, reserve),
+            };
+            retry_state.handle(instance, end, &mut budget)
         });
         call.progress
             .set_may_have_run(retry_state.verdict() != Verdict::NotRun);
@@ -252,7 +255,11 @@
         }
         let placement_request = self.placement_request(shared, now);
         let mut placement = shared.placement();
-        placement.choose(now, candidates, retry_state.tried(), &placement_request)
+        let tried = retry_state.tried();
+        match retry_state.was_shed() {
+            true => placement.choose_after_shed(now, candidates, tried, &placement_request),
+            false => placement.choose(now, candidates, tried, &placement_request),
+        }
     }
 
     /// Records the end of an attempt in the statistics of a running trial, unless it says nothing
@@ -500,7 +507,7 @@
         AttemptEnd::Answered(_) => OfferEnd::Failed,
         AttemptEnd::NotRun(rejection) => match rejection {
             Rejection::Busy(_) | Rejection::Starved(_) | Rejection::Expired => OfferEnd::Full,
-            Rejection::Shed => OfferEnd::Failed,
+            Rejection::Shed => OfferEnd::Shed,
             Rejection::NotHere | Rejection::WrongIncarnation => OfferEnd::Absent,
             Rejection::Unconnected => OfferEnd::Unreachable,
             Rejection::Revoked => OfferEnd::Withdrawn,
--- a/crates/proxy/tests/gate.rs
+++ b/crates/proxy/tests/gate.rs
@@ -10,7 +10,7 @@
     ServerAnswer, ServerCondition,
 };
 use rf_proxy::gate::{CallEnd, Gate};
-use rf_traffic::{ConditionChange, LocalServer, StatedLimit, Statement};
+use rf_traffic::{ConditionChange, LocalServer, ServerLoad, StatedLimit, StatedLoad, Statement};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -243,3 +243,33 @@
     let waited = raised.elapsed();
     assert!(waited < Duration::from_millis(1000), "{waited:?}");
 }
+
+// Guards against a request that is handed back and runs later all the same.
+#[test]
+fn a_request_that_is_handed_back_by_a_slow_server_never_runs() {
+    task::block_on(async {
+        let gate = open_gate();
+        let first = gate.acquire(&attempt(1, 10)).await.expect("a free slot");
+        let _second = gate.acquire(&attempt(2, 10)).await.expect("a free slot");
+        let third = attempt(3, 250);
+        let waiting = {
+            let (gate, third) = (gate.clone(), third.clone());
+            task::spawn(async move { gate.acquire(&third).await.map(drop) })
+        };
+        task::sleep(Millis(20).duration()).await;
+        first.observe_statement(&Statement {
+            load: StatedLoad::Stated(ServerLoad {
+                running: 2,
+                waiting: 0,
+                slots: 2,
+                slowness: Some(1000),
+            }),
+            ..Statement::default()
+        });
+        let end = waiting.await;
+        assert!(matches!(end, Err(Rejection::Busy(_))), "{end:?}");
+        assert_eq!(gate.load(1).slowness.map(|s| s.percent), Some(1000));
+        let revoked = LedgerAnswer::Ended(AttemptEnd::NotRun(Rejection::Revoked));
+        assert_eq!(gate.query_attempt(&third.key), revoked);
+    });
+}
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -22,6 +22,7 @@
 mod recent;
 pub mod retry;
 pub mod retry_delay;
+pub mod shed_rate;
 pub mod slowness;
 pub mod start_limiter;
 pub mod strikes;
--- a/crates/traffic/src/offers.rs
+++ b/crates/traffic/src/offers.rs
@@ -68,6 +68,7 @@
     round: usize,
     refusals: u32,
     slot_wait: Option<Millis>,
+    was_shed: bool,
 }
 
 impl RetryState {
@@ -84,6 +85,7 @@
             round: 0,
             refusals: 0,
             slot_wait: None,
+            was_shed: false,
         }
     }
 
@@ -142,6 +144,11 @@
         self.verdict
     }
 
+    /// Returns whether the backend server of the last attempt rejected it.
+    pub fn was_shed(&self) -> bool {
+        self.was_shed
+    }
+
     /// Returns the number of attempts that may have reached a backend server.
     pub fn reached(&self) -> u32 {
         self.reached
@@ -160,6 +167,7 @@
         budget: &mut ReservedBudget<'_>,
     ) -> RetryDecision {
         self.tried.insert(instance);
+        self.was_shed = end == AttemptEnd::NotRun(Rejection::Shed);
         match end {
             AttemptEnd::Answered(answer) => self.after_answer(answer, budget),
             AttemptEnd::NotRun(rejection) => self.after_rejection(rejection, budget),
--- a/crates/traffic/src/placement.rs
+++ b/crates/traffic/src/placement.rs
@@ -26,9 +26,12 @@
 //!   which the score includes, so that requests go to servers with room.
 //! - A server that states that work takes longer than usual: its run times are multiplied by the
 //!   figure, which decays with its age ([`crate::slowness`]).
+//! - A server that rejects requests while in good health: a rejected request is tried next on the
+//!   server that has rejected least lately ([`crate::shed_rate`]).
 //! - An unreachable server: it is ejected for a time that doubles with each failure, unless every
 //!   candidate is ejected.
 
+use crate::shed_rate::ShedRate;
 use crate::slowness::decayed_factor;
 use rf_base::{InstanceId, Millis, SeededRandom};
 use rf_protocol::relay::LoadReport;
@@ -108,6 +111,8 @@
     Succeeded,
     /// The server answered with a failure, broke the connection or timed out.
     Failed,
+    /// The server rejected the request although its gate had a slot for it.
+    Shed,
     /// The gate refused the offer because it was full.
     Full,
     /// The server no longer runs on this instance.
@@ -130,6 +135,7 @@
     transit: f64,
     /// Moving average of failures, from 0 to 1.
     failures: f64,
+    sheds: ShedRate,
     /// Number of consecutive ejections.
     ejections: u32,
     ejected_until: Millis,
@@ -198,16 +204,7 @@
         tried: &BTreeSet<InstanceId>,
         request: &PlacementRequest,
     ) -> Option<InstanceId> {
-        let untried: Vec<&Candidate> = candidates
-            .iter()
-            .filter(|c| !tried.contains(&c.instance))
-            .collect();
-        let usable: Vec<&Candidate> = untried
-            .iter()
-            .copied()
-            .filter(|c| !self.is_ejected(now, c.instance))
-            .collect();
-        let usable = if usable.is_empty() { untried } else { usable };
+        let usable = self.find_usable(now, candidates, tried);
         let mean_time = self.mean_run_time(candidates);
         let (near, far): (Vec<_>, Vec<_>) = usable.into_iter().partition(|c| c.is_near);
         let near = self.best_of(now, near, mean_time, request);
@@ -221,10 +218,60 @@
                 both.min_by(|(a, _), (b, _)| a.total_cmp(b))?.1
             }
         };
+        Some(self.count_sent(instance))
+    }
+
+    /// Chooses the server that has rejected least lately, for a request that another one has
+    /// rejected, and counts the request as in flight there.
+    ///
+    /// Returns `None` if `tried` contains every candidate.
+    pub fn choose_after_shed(
+        &mut self,
+        now: Millis,
+        candidates: &[Candidate],
+        tried: &BTreeSet<InstanceId>,
+        request: &PlacementRequest,
+    ) -> Option<InstanceId> {
+        let mean_time = self.mean_run_time(candidates);
+        let rank = |candidate: &Candidate| {
+            let load = self.loads.get(&candidate.instance);
+            let sheds = load.map(|l| l.sheds).unwrap_or_default();
+            let score = self.score(now, candidate, mean_time, request.route);
+            (sheds.rate(now), score)
+        };
+        let usable = self.find_usable(now, candidates, tried).into_iter();
+        let ranked = usable.map(|c| (rank(c), c.instance));
+        let ((..), instance) =
+            ranked.min_by(|((shed_a, score_a), _), ((shed_b, score_b), _)| {
+                shed_a.total_cmp(shed_b).then(score_a.total_cmp(score_b))
+            })?;
+        Some(self.count_sent(instance))
+    }
+
+    /// Returns the untried candidates that are not ejected, or all untried ones if all are.
+    fn find_usable<'a>(
+        &self,
+        now: Millis,
+        candidates: &'a [Candidate],
+        tried: &BTreeSet<InstanceId>,
+    ) -> Vec<&'a Candidate> {
+        let untried: Vec<&Candidate> = candidates
+            .iter()
+            .filter(|c| !tried.contains(&c.instance))
+            .collect();
+        let usable: Vec<&Candidate> = untried
+            .iter()
+            .copied()
+            .filter(|c| !self.is_ejected(now, c.instance))
+            .collect();
+        if usable.is_empty() { untried } else { usable }
+    }
+
+    fn count_sent(&mut self, instance: InstanceId) -> InstanceId {
         let load = self.loads.entry(instance).or_default();
         load.in_flight += 1;
         load.sent_since += 1;
-        Some(instance)
+        instance
     }
 
     fn sample<'a>(&mut self, mut candidates: Vec<&'a Candidate>) -> Vec<&'a Candidate> {
@@ -409,9 +456,12 @@
             load.reported_at = now;
             load.sent_since = 0;
         }
+        if matches!(end, OfferEnd::Succeeded | OfferEnd::Failed | OfferEnd::Shed) {
+            load.sheds.observe(now, end == OfferEnd::Shed);
+        }
         match end {
             OfferEnd::Succeeded => load.recover(0.0),
-            OfferEnd::Failed => load.recover(1.0),
+            OfferEnd::Failed | OfferEnd::Shed => load.recover(1.0),
             OfferEnd::Absent | OfferEnd::Unreachable => load.eject(now),
             OfferEnd::Full | OfferEnd::Withdrawn => {}
         }
--- a/crates/traffic/tests/placement.rs
+++ b/crates/traffic/tests/placement.rs
@@ -1,7 +1,7 @@
 //! Tests of the load patterns that placement handles, on a virtual clock.
 
 use rf_base::{InstanceId, Millis, RequestRate, SeededRandom};
-use rf_protocol::relay::{LoadReport, ServerCondition};
+use rf_protocol::relay::{LoadReport, ServerCondition, Slowness};
 use rf_traffic::placement::OfferReport;
 use rf_traffic::{Candidate, OfferEnd, Placement, PlacementRequest};
 use std::collections::{BTreeMap, BTreeSet};
@@ -313,3 +313,39 @@
     assert_eq!(choose_at(&mut placement, 400, &candidates), InstanceId(2));
     assert_eq!(choose_at(&mut placement, 9000, &candidates), InstanceId(1));
 }
+
+// Guards against spending the retry budget at the server that has just rejected most requests.
+#[test]
+fn a_rejected_request_goes_to_the_server_that_rejected_least() {
+    let mut placement = new_placement();
+    for id in 1..=3 {
+        record_offer(&mut placement, id, OfferEnd::Succeeded, report(0, 100));
+    }
+    record_offer(&mut placement, 1, OfferEnd::Shed, report(0, 100));
+    record_offer(&mut placement, 2, OfferEnd::Shed, report(0, 10));
+    let candidates: Vec<Candidate> = (1..=3).map(|id| candidate(id, id != 3)).collect();
+    let tried = BTreeSet::from([InstanceId(1)]);
+    let chosen = placement.choose_after_shed(Millis(1), &candidates, &tried, &request(20));
+    assert_eq!(chosen, Some(InstanceId(3)));
+    let all = candidates.iter().map(|c| c.instance).collect();
+    let chosen = placement.choose_after_shed(Millis(1), &candidates, &all, &request(20));
+    assert_eq!(chosen, None);
+}
+
+// Guards against a stated slowness that placement ignores, or keeps after it has become old.
+#[test]
+fn a_server_that_states_to_be_slow_is_avoided_for_a_while() {
+    let mut placement = new_placement();
+    let slow = report(0, 100).map(|mut r| {
+        r.load.slowness = Some(Slowness {
+            percent: 300,
+            age: Millis(100),
+        });
+        r
+    });
+    record_offer(&mut placement, 1, OfferEnd::Succeeded, slow);
+    record_offer(&mut placement, 2, OfferEnd::Succeeded, report(0, 150));
+    let candidates = [candidate(1, true), candidate(2, true)];
+    assert_eq!(choose_at(&mut placement, 1, &candidates), InstanceId(2));
+    assert_eq!(choose_at(&mut placement, 3000, &candidates), InstanceId(1));
+}
