--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -25,6 +25,7 @@
 mod recent;
 pub mod retry;
 pub mod retry_delay;
+pub mod shed_rate;
 pub mod slowness;
 pub mod start_limiter;
 pub mod strikes;
