Bound the fallback of quotas for an owner that is alive

While replies of a living owner are lost or late, it serves its own callers from the whole bucket. After 2 s, when membership would have named another owner, the fallback accrues half of its part.

--- a/crates/proxy/tests/quotas.rs
+++ b/crates/proxy/tests/quotas.rs
@@ -10,12 +10,16 @@
 use rf_config::{Organisation, Quota, RouteTable};
 use rf_membership::overlay::highest_ranked;
 use rf_platform::PlatformDialect;
+use rf_protocol::relay::{
+    QuotaClaim, QuotaGrant, QuotaReply, QuotaRequest, RelayReply, RelayRequest,
+};
 use rf_proxy::control::quotas::index_quotas;
-use rf_proxy::peers;
 use rf_proxy::quota::{self, QuotaDecision};
 use rf_proxy::shared::Shared;
 use rf_proxy::view::View;
+use rf_proxy::{peers, relay};
 use rf_standin::users::mesh::proxy_settings;
+use rf_transport::h1::{RequestHead, ResponseHead};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Instant;
@@ -247,3 +251,40 @@
     }
     assert_eq!(proxy.count("quota_messages_total"), 0.0);
 }
+
+/// The cost of a message in the design page is worked out with this size.
+#[test]
+fn a_message_for_one_organisation_takes_less_than_220_bytes() {
+    let organisation = OrganisationId(u64::MAX);
+    let request = QuotaRequest {
+        from: InstanceId(u64::MAX),
+        claims: vec![QuotaClaim {
+            organisation,
+            wanted: 64,
+            unspent: 3,
+        }],
+    };
+    let reply = QuotaReply {
+        grants: vec![QuotaGrant {
+            organisation,
+            tokens: 64,
+            lifetime: Millis(1000),
+            wait: Millis(1000),
+            is_owner: true,
+        }],
+    };
+    let request = relay::encode(&RelayRequest::Quota(Box::new(request))).expect("it encodes");
+    let reply = relay::encode(&RelayReply::Quota(Box::new(reply))).expect("it encodes");
+    let request_head = RequestHead::new("POST", relay::PATH, "192.168.100.100:12345");
+    let request_head = request_head.encode(request.len());
+    let reply_head = ResponseHead::new(200).encode(Some(reply.len()));
+    let bytes = request_head.len() + request.len() + reply_head.len() + reply.len();
+    println!(
+        "{bytes} bytes: heads {} and {}, bodies {} and {}",
+        request_head.len(),
+        reply_head.len(),
+        request.len(),
+        reply.len()
+    );
+    assert!(bytes < 220, "{bytes}");
+}
--- a/crates/traffic/src/quota/fallback.rs
+++ b/crates/traffic/src/quota/fallback.rs
@@ -9,9 +9,13 @@
 /// Time between two claims sent to an owner that did not reply.
 const RETRY_INTERVAL: Millis = Millis(500);
 /// Additional parts of the quota that are left to the owner. It may be alive and serve the callers of
-/// its own proxy from the whole bucket; without this, 14 proxies at five times the quota exceeded the
-/// margin (178 of 140) while half of the replies were lost.
+/// its own proxy from the whole bucket; without this and [`LATE_FRACTION`], 14 proxies at five times the
+/// quota exceeded the margin (178 of 140) while half of the replies were lost.
 const OWNER_PARTS: f64 = 1.0;
+/// Time after which membership would have named another owner if the silent one had ended.
+const DETECTION_TIME: Millis = Millis(2000);
+/// Fraction of the part that accrues from then on: the owner is alive and serves some proxies.
+const LATE_FRACTION: f64 = 0.5;
 /// Time worth of requests, in seconds, that is repaid at most. An owner whose replies are lost for
 /// longer has lent tokens in vain itself.
 const MAX_DEBT_SECONDS: f64 = 1.0;
@@ -24,6 +28,7 @@
 pub struct Fallback {
     tokens: f64,
     updated: Millis,
+    began: Millis,
     ended: Option<Millis>,
     /// Owner that does not reply, while the fallback is in use.
     silent: Option<InstanceId>,
@@ -67,6 +72,13 @@
             self.tokens = terms.fallback_start(known);
         }
         self.updated = asked.max(self.ended.unwrap_or_default());
+        // Failures that alternate with replies are one failure of the owner.
+        if self
+            .ended
+            .is_none_or(|ended| now.since(ended) >= DETECTION_TIME)
+        {
+            self.began = now;
+        }
         true
     }
 
@@ -109,7 +121,11 @@
     ) -> Result<(), Millis> {
         let part = known as f64 + OWNER_PARTS;
         let rate = terms.rate / part;
-        let accrued = terms.accrued(now.since(self.updated)) / part;
+        let fraction = match now.since(self.began) < DETECTION_TIME {
+            true => 1.0,
+            false => LATE_FRACTION,
+        };
+        let accrued = fraction * terms.accrued(now.since(self.updated)) / part;
         self.updated = self.updated.max(now);
         let limit = terms.fallback_start(known).max(rate);
         self.tokens = (self.tokens + accrued).min(limit);
