--- a/crates/proxy/src/quota.rs
+++ b/crates/proxy/src/quota.rs
@@ -286,10 +286,9 @@
         now: Millis,
     ) -> QuotaGrant {
         let organisation = claim.organisation;
-        let owned = match self.owner_of(organisation) == self.me {
-            true => view.quotas.get(&organisation),
-            false => None,
-        };
+        // Ids that are not in the table must not fill the map of owners.
+        let owned = view.quotas.get(&organisation);
+        let owned = owned.filter(|_| self.owner_of(organisation) == self.me);
         let Some((_, quota)) = owned else {
             return QuotaGrant {
                 organisation,
