--- a/crates/config/tests/patch.rs
+++ b/crates/config/tests/patch.rs
@@ -1,9 +1,12 @@
 //! Tests of digests and patches of route tables.
 
 use proptest::prelude::*;
-use rf_base::{ConfigVersion, Millis};
+use rf_base::{ConfigVersion, Millis, OrganisationName};
 use rf_config::patch::{PatchError, TableDigest, TablePatch};
-use rf_config::{PathRoute, RepeatPolicy, RouteTable, WeightedService};
+use rf_config::{
+    KeyHash, Organisation, PathRoute, Quota, RepeatPolicy, RouteTable, WeightedService,
+};
+use std::collections::{BTreeMap, BTreeSet};
 
 fn route(prefix: &str, service: &str, timeout: u64) -> PathRoute {
     PathRoute {
@@ -104,3 +107,121 @@
         prop_assert_eq!(canonical(&built), canonical(&new));
     }
 }
+
+fn organisation(keys: &[u32], priority: u8) -> Organisation {
+    let keys = keys.iter().map(|k| KeyHash::of(&k.to_string()));
+    Organisation {
+        keys: keys.collect(),
+        priority,
+        quota: None,
+    }
+}
+
+/// Builds a table of organisations given as (name, first key, priority), with three keys each.
+fn with_organisations(version: u64, organisations: &[(u16, u32, u8)]) -> RouteTable {
+    let mut table = table(version, &[(1, 1, 1, 900)]);
+    for (name, key, priority) in organisations {
+        let keys = [*key, key + 1, key + 2];
+        let name = format!("o{name}").as_str().into();
+        let organisation = organisation(&keys, *priority);
+        table.organisations.insert(name, organisation);
+    }
+    table
+}
+
+#[test]
+fn patch_for_one_changed_organisation_contains_few_others() {
+    let organisations: Vec<_> = (0..2000u16).map(|n| (n, u32::from(n) * 3, 1)).collect();
+    let old = with_organisations(1, &organisations);
+    let mut changed = organisations;
+    changed[700].1 = 9_000_000;
+    let new = with_organisations(2, &changed);
+    let patch = patch(&new, &TableDigest::of(&old));
+    assert!(patch.routes.is_empty());
+    let sent = patch.organisations.len();
+    assert!((1..50).contains(&sent), "{sent} of 2000 were sent");
+    assert_eq!(patch.apply(&old).expect("the base matches"), new);
+}
+
+#[test]
+fn each_field_of_an_organisation_and_of_a_public_route_changes_the_digest() {
+    let base = with_organisations(1, &[(1, 1, 1)]);
+    let name: OrganisationName = "o1".into();
+    let changes: [fn(&mut Organisation); 4] = [
+        |o| o.priority = 2,
+        |o| o.quota = Some(Quota::default()),
+        |o| o.keys = [KeyHash::of("other")].into(),
+        |o| o.keys.clear(),
+    ];
+    for change in changes {
+        let mut table = base.clone();
+        change(table.organisations.get_mut(&name).expect("it is known"));
+        assert_ne!(TableDigest::of(&table), TableDigest::of(&base));
+    }
+    let mut public = base.clone();
+    let routes = public.hosts.values_mut().next().expect("a host");
+    routes[0].is_public = true;
+    assert_ne!(TableDigest::of(&public), TableDigest::of(&base));
+}
+
+/// Guards against messages that proxies without organisations in their code would not read.
+#[test]
+fn patch_without_organisations_has_the_same_bytes_as_before() {
+    #[derive(serde::Serialize)]
+    struct EarlierPatch<'a> {
+        version: ConfigVersion,
+        digest: &'a TableDigest,
+        limits: rf_config::CallerLimits,
+        services: &'a BTreeMap<rf_base::ServiceName, u32>,
+        cold_paces: &'a BTreeMap<rf_base::ServiceName, u32>,
+        buckets: &'a BTreeSet<u8>,
+        routes: &'a BTreeMap<String, Vec<PathRoute>>,
+    }
+    let patch = patch(&table(3, &[(1, 1, 2, 900)]), &TableDigest::default());
+    let earlier = EarlierPatch {
+        version: patch.version,
+        digest: &patch.digest,
+        limits: patch.limits,
+        services: &patch.services,
+        cold_paces: &patch.cold_rates,
+        buckets: &patch.buckets,
+        routes: &patch.routes,
+    };
+    assert_eq!(patch.buckets.len(), 64);
+    let bytes = rmp_serde::to_vec(&patch).expect("it is encoded");
+    assert_eq!(bytes, rmp_serde::to_vec(&earlier).expect("it is encoded"));
+    let read: TablePatch = rmp_serde::from_slice(&bytes).expect("it is decoded");
+    assert_eq!(read, patch);
+}
+
+#[test]
+fn patch_with_100_000_keys_takes_about_the_size_of_their_hashes() {
+    let names = 0..10_000u32;
+    let organisations = names.map(|n| {
+        let keys: Vec<u32> = (n * 10..n * 10 + 10).collect();
+        let name: OrganisationName = format!("o{n}").as_str().into();
+        (name, organisation(&keys, 1))
+    });
+    let new = RouteTable {
+        version: ConfigVersion(1),
+        organisations: organisations.collect(),
+        ..RouteTable::default()
+    };
+    let patch = patch(&new, &TableDigest::default());
+    let bytes = rmp_serde::to_vec(&patch).expect("it is encoded").len();
+    assert!(bytes < 3_600_000, "{bytes} bytes");
+    assert_eq!(patch.apply(&RouteTable::default()), Ok(new));
+}
+
+proptest! {
+    #[test]
+    fn applying_a_patch_yields_the_newer_organisations(
+        old in prop::collection::vec((0u16..300, 0u32..500, 0u8..4), 0..150),
+        new in prop::collection::vec((0u16..300, 0u32..500, 0u8..4), 0..150),
+    ) {
+        let old = with_organisations(1, &old);
+        let new = with_organisations(2, &new);
+        let patch = patch(&new, &TableDigest::of(&old));
+        prop_assert_eq!(patch.apply(&old).expect("the base matches"), new);
+    }
+}
