--- a/crates/config/src/organisations.rs
+++ b/crates/config/src/organisations.rs
@@ -12,7 +12,7 @@
 /// Longest key that is accepted, in bytes.
 const MAX_KEY_BYTES: usize = 256;
 /// Longest name of an organisation, in bytes; it is sent in a header field.
-const MAX_NAME_BYTES: usize = 256;
+const MAX_NAME_BYTES: usize = 1024;
 /// Largest burst of a quota, in requests.
 pub const MAX_BURST: u32 = 1_000_000;
 /// Number of priorities of organisations and of routes that a combined class distinguishes.
