--- a/crates/config/tests/patch.rs
+++ b/crates/config/tests/patch.rs
@@ -210,7 +210,16 @@
     let patch = patch(&new, &TableDigest::default());
     let bytes = rmp_serde::to_vec(&patch).expect("it is encoded").len();
     assert!(bytes < 3_600_000, "{bytes} bytes");
-    assert_eq!(patch.apply(&RouteTable::default()), Ok(new));
+    assert_eq!(patch.apply(&RouteTable::default()).as_ref(), Ok(&new));
+    let mut newer = new.clone();
+    newer.version = ConfigVersion(2);
+    let changed = newer.organisations.values_mut().next().expect("one");
+    changed.keys = [KeyHash::of("new")].into();
+    let digest = TableDigest::of(&newer);
+    let change = TablePatch::new(&newer, &digest, &TableDigest::of(&new));
+    let change = rmp_serde::to_vec(&change).expect("it is encoded").len();
+    println!("the table takes {bytes} bytes, a change of one organisation {change}");
+    assert!(change < 40_000, "{change} bytes");
 }
 
 proptest! {
