Divide the burst of hedged requests by the known proxies

In a partition both halves would spend the whole burst, as the retry budget did. Change: the divisor is the number of known proxies, as for the retry budget.

--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -237,7 +237,7 @@
         let policy = self.settings.load().policy.hedging;
         HedgeLimit {
             share: policy.share,
-            burst: policy.burst / self.view.load().proxies.max(1) as f64,
+            burst: policy.burst / self.view.load().known_proxies.max(1) as f64,
         }
     }
 
