--- a/crates/proxy/src/control/machine.rs
+++ b/crates/proxy/src/control/machine.rs
@@ -4,16 +4,14 @@
 //! merged from two sources: the store, and gossip from other proxies, which also reaches a proxy
 //! that has no connection to the store. Each change leads to a new [`View`] for the data plane.
 
+mod views;
+
 use super::event::{Action, Event, ExchangeSender, MessageKind};
 use super::fetch::TableFetch;
-use super::quotas;
 use super::rollouts::RolloutTracker;
-use super::select::{new_incarnations, select, to_target};
 use crate::source::{ProxyEntry, Snapshot, Topic};
-use crate::view::{Target as ServerTarget, View};
-use rf_base::{
-    ConfigVersion, Incarnation, InstanceId, Millis, SeededRandom, ServiceName, ZoneName,
-};
+use crate::view::View;
+use rf_base::{Incarnation, InstanceId, Millis, SeededRandom, ZoneName};
 use rf_config::{KeyIndex, RouteTable, TableDigest, TablePatch};
 use rf_membership::overlay::highest_ranked;
 use rf_membership::{ExchangeTarget, Membership, MembershipSettings};
@@ -24,6 +22,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tracing::{info, warn};
+use views::ViewInputs;
 
 /// Interval between two gossip exchanges with one neighbour.
 const HEARTBEAT_INTERVAL: Millis = Millis(500);
@@ -70,14 +69,6 @@
     pub started: Millis,
 }
 
-/// Versions of the inputs that a view was computed from.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-struct ViewInputs {
-    roster: u64,
-    table: ConfigVersion,
-    rollouts: u64,
-}
-
 /// State of the control machine.
 #[derive(Debug)]
 pub struct Control {
@@ -596,56 +587,4 @@
             actions.push(Action::Send(target, MessageKind::Tell, Box::new(request)));
         }
     }
-
-    fn publish(&mut self, actions: &mut Vec<Action>) {
-        let inputs = ViewInputs {
-            roster: self.membership.roster().revision(),
-            table: self.table.version,
-            rollouts: self.rollouts.revision(),
-        };
-        if inputs == self.inputs {
-            return;
-        }
-        self.inputs = inputs;
-        let view = self.compute_view();
-        if view == self.published {
-            return;
-        }
-        for instance in new_incarnations(&self.published, &view) {
-            actions.push(Action::Readmit(instance));
-        }
-        self.published = view.clone();
-        actions.push(Action::PublishView(Box::new(view)));
-    }
-
-    fn compute_view(&self) -> View {
-        let me = self.membership.me();
-        let roster = self.membership.roster();
-        let mut by_service: BTreeMap<&ServiceName, Vec<ServerTarget>> = BTreeMap::new();
-        for member in roster.reachable().filter(|m| !m.leaving) {
-            if let Some(server) = &member.server {
-                let target = to_target(member, server, member.zone == me.zone);
-                by_service.entry(&server.service).or_default().push(target);
-            }
-        }
-        let services = by_service
-            .into_iter()
-            .map(|(service, targets)| {
-                let view = select(&self.rollouts.rule(service), targets);
-                (service.clone(), view)
-            })
-            .collect();
-        let near = roster.reachable().filter(|m| m.zone == me.zone);
-        View {
-            zone_peers: near.map(|m| m.peers).collect(),
-            table: self.table.clone(),
-            digest: self.digest.clone(),
-            keys: self.keys.clone(),
-            services,
-            proxies: roster.reachable().count(),
-            known_proxies: quotas::count_known(roster),
-            peers: quotas::publish_peers(roster, &self.published),
-            quotas: quotas::index_quotas(&self.table, &self.published),
-        }
-    }
 }
