Release the permits of the test of overtaken attempts at once

Cause, traced: the tasks of the small attempts keep their permits until the test awaits them in the order of arrival, while slots are granted in another order, so the test waited for slots that its own finished tasks held. Change: each task releases its permit at once; the waits are 500 and 2000 ms and 20 small attempts overtake, so that load on the machine does not expire them. The checks are the same.

--- a/crates/proxy/tests/gate.rs
+++ b/crates/proxy/tests/gate.rs
@@ -260,24 +260,24 @@
     };
     let wait = |attempt: AttemptRequest| {
         let gate = gate.clone();
-        task::spawn(async move { gate.acquire(&attempt).await })
+        task::spawn(async move { gate.acquire(&attempt).await.map(drop) })
     };
     // Both slots run attempts of the large organisation; the average run is taken as 60 ms.
     let first = gate.acquire(&attempt_of(1, 1, 0)).await.expect("a slot");
     let second = gate.acquire(&attempt_of(2, 1, 0)).await.expect("a slot");
-    let large = wait(attempt_of(3, 1, 100));
+    let large = wait(attempt_of(3, 1, 500));
     task::sleep(Millis(10).duration()).await;
-    let small: Vec<_> = (2..6).map(|o| wait(attempt_of(10 + o, o, 400))).collect();
+    let small: Vec<_> = (2..22).map(|o| wait(attempt_of(10 + o, o, 2000))).collect();
     task::sleep(Millis(10).duration()).await;
     drop(first);
-    let end = large.await.map(drop);
+    let end = large.await;
     assert!(matches!(end, Err(Rejection::Busy(_))), "{end:?}");
     assert_eq!(gate.fair_yields(), 1);
     let not_run = LedgerAnswer::Ended(AttemptEnd::NotRun(Rejection::Revoked));
     assert_eq!(gate.query_attempt(&attempt(3, 0).key), not_run);
     drop(second);
     for waiting in small {
-        drop(waiting.await.expect("a slot"));
+        waiting.await.expect("a slot");
     }
 }
 
