--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -33,7 +33,10 @@
 
 impl Client {
     pub fn new(address: SocketAddr) -> Client {
-        Client { address, conn: None }
+        Client {
+            address,
+            conn: None,
+        }
     }
 
     /// Uses a new connection for the next request, as clients do to retry.
@@ -42,8 +45,14 @@
     }
 
     pub fn send(&mut self, request: &Request, record: &Record) -> End {
-        let Request { id, method, path, .. } = request;
-        record.add(format!("client sends {id} ({method} {path}, {} bytes) to {}", request.body.len(), self.address));
+        let Request {
+            id, method, path, ..
+        } = request;
+        record.add(format!(
+            "client sends {id} ({method} {path}, {} bytes) to {}",
+            request.body.len(),
+            self.address
+        ));
         let end = match self.exchange(request) {
             Ok(end) => end,
             Err(error) => End::Lost(error.to_string()),
@@ -51,7 +60,10 @@
         match &end {
             End::Answer(status, body, signed) => {
                 let signed = if *signed { "signed" } else { "unsigned" };
-                record.add(format!("client gets {status} for {id} ({signed}, {} bytes)", body.len()));
+                record.add(format!(
+                    "client gets {status} for {id} ({signed}, {} bytes)",
+                    body.len()
+                ));
             }
             End::Lost(error) => {
                 self.conn = None;
@@ -67,7 +79,13 @@
             None => Conn::open(self.address, Duration::from_secs(1))?,
         };
         conn.set_timeout(request.deadline + Duration::from_millis(500));
-        let Request { id, method, path, body, .. } = request;
+        let Request {
+            id,
+            method,
+            path,
+            body,
+            ..
+        } = request;
         let framing = match (request.is_chunked, body.len()) {
             (true, _) => "Transfer-Encoding: chunked\r\n".to_owned(),
             (false, 0) => String::new(),
@@ -92,7 +110,10 @@
         let head = conn.read_head()?;
         let body = conn.read_body(&head)?;
         let is_signed = head.get("X-Rosemaryfork-Response-Signature").is_some();
-        if !head.get("Connection").is_some_and(|v| v.eq_ignore_ascii_case("close")) {
+        if !head
+            .get("Connection")
+            .is_some_and(|v| v.eq_ignore_ascii_case("close"))
+        {
             self.conn = Some(conn);
         }
         Ok(End::Answer(head.status(), body, is_signed))
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -37,7 +37,10 @@
 impl Conn {
     pub fn new(stream: TcpStream) -> Conn {
         stream.set_nodelay(true).ok();
-        Conn { stream, buffer: Vec::new() }
+        Conn {
+            stream,
+            buffer: Vec::new(),
+        }
     }
 
     pub fn open(address: SocketAddr, limit: Duration) -> Result<Conn> {
@@ -45,7 +48,9 @@
     }
 
     pub fn set_timeout(&self, limit: Duration) {
-        self.stream.set_read_timeout(Some(limit.max(Duration::from_millis(1)))).ok();
+        self.stream
+            .set_read_timeout(Some(limit.max(Duration::from_millis(1))))
+            .ok();
     }
 
     pub fn write(&mut self, bytes: &[u8]) -> Result<()> {
@@ -74,9 +79,16 @@
         let text = String::from_utf8_lossy(&self.buffer[..end]).into_owned();
         self.buffer.drain(..end + 4);
         let mut lines = text.split("\r\n");
-        let line = lines.next().unwrap_or("").split(' ').map(str::to_owned).collect();
+        let line = lines
+            .next()
+            .unwrap_or("")
+            .split(' ')
+            .map(str::to_owned)
+            .collect();
         let fields = lines.filter_map(|l| l.split_once(':'));
-        let fields = fields.map(|(n, v)| (n.to_owned(), v.trim().to_owned())).collect();
+        let fields = fields
+            .map(|(n, v)| (n.to_owned(), v.trim().to_owned()))
+            .collect();
         Ok(Head { line, fields })
     }
 
@@ -119,7 +131,13 @@
 }
 
 /// Sends a request on a new connection and returns the status and the body of the response.
-pub fn call(address: SocketAddr, method: &str, path: &str, body: &str, limit: Duration) -> Result<(u16, String)> {
+pub fn call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &str,
+    limit: Duration,
+) -> Result<(u16, String)> {
     let mut conn = Conn::open(address, limit)?;
     conn.set_timeout(limit);
     let text = format!(
--- a/review/standin/json.rs
+++ b/review/standin/json.rs
@@ -16,7 +16,10 @@
 impl Json {
     pub fn get(&self, name: &str) -> &Json {
         match self {
-            Json::Object(fields) => fields.iter().find(|(n, _)| n == name).map_or(&Json::Null, |(_, v)| v),
+            Json::Object(fields) => fields
+                .iter()
+                .find(|(n, _)| n == name)
+                .map_or(&Json::Null, |(_, v)| v),
             _ => &Json::Null,
         }
     }
@@ -36,7 +39,10 @@
     }
 
     pub fn parse(text: &str) -> Option<Json> {
-        let mut parser = Parser { text: text.as_bytes(), at: 0 };
+        let mut parser = Parser {
+            text: text.as_bytes(),
+            at: 0,
+        };
         parser.value()
     }
 }
@@ -48,7 +54,11 @@
 
 impl Parser<'_> {
     fn peek(&mut self) -> Option<u8> {
-        while self.text.get(self.at).is_some_and(|b| b.is_ascii_whitespace()) {
+        while self
+            .text
+            .get(self.at)
+            .is_some_and(|b| b.is_ascii_whitespace())
+        {
             self.at += 1;
         }
         self.text.get(self.at).copied()
@@ -99,7 +109,11 @@
             }
             _ => {
                 let start = self.at;
-                while self.text.get(self.at).is_some_and(|b| b"+-.eE0123456789".contains(b)) {
+                while self
+                    .text
+                    .get(self.at)
+                    .is_some_and(|b| b"+-.eE0123456789".contains(b))
+                {
                     self.at += 1;
                 }
                 let text = std::str::from_utf8(&self.text[start..self.at]).ok()?;
@@ -124,7 +138,8 @@
                         b't' => bytes.push(b'\t'),
                         b'r' => bytes.push(b'\r'),
                         b'u' => {
-                            let hex = std::str::from_utf8(self.text.get(self.at..self.at + 4)?).ok()?;
+                            let hex =
+                                std::str::from_utf8(self.text.get(self.at..self.at + 4)?).ok()?;
                             self.at += 4;
                             let char = char::from_u32(u32::from_str_radix(hex, 16).ok()?)?;
                             bytes.extend_from_slice(char.to_string().as_bytes());
--- a/review/standin/late_beat.rs
+++ b/review/standin/late_beat.rs
@@ -1,9 +1,9 @@
 //! A heartbeat arrives late at a proxy that was killed and restarted after its server had left.
 
-use crate::Outcome;
 use crate::client::{Client, End, Request};
 use crate::mesh::{Machine, Mesh};
 use crate::record::Record;
+use crate::Outcome;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
@@ -21,7 +21,12 @@
 const CLIENTS: usize = 6;
 
 pub fn mesh(seed: u64) -> Mesh {
-    let mesh = Mesh::start(&["desk", "desk", "till", "till", "till"], 9, Duration::from_millis(210), seed);
+    let mesh = Mesh::start(
+        &["desk", "desk", "till", "till", "till"],
+        9,
+        Duration::from_millis(210),
+        seed,
+    );
     mesh.configure(7, 1200, &[("unsafe", "/pay/", "till")]);
     mesh
 }
@@ -61,12 +66,16 @@
     // The last heartbeat of the server is on its way for some seconds.
     leaving.server.beats.store(false, Ordering::SeqCst);
     let late_beat = leaving.server.make_beat();
-    record.add(format!("server {id} sends a heartbeat (ready), which is delayed: {late_beat}"));
+    record.add(format!(
+        "server {id} sends a heartbeat (ready), which is delayed: {late_beat}"
+    ));
     thread::scope(|scope| -> Outcome {
         scope.spawn(|| {
             thread::sleep(LATENESS);
             let is_taken = leaving.server.send_beat(&late_beat);
-            record.add(format!("the delayed heartbeat of {id} arrives; acknowledged: {is_taken}"));
+            record.add(format!(
+                "the delayed heartbeat of {id} arrives; acknowledged: {is_taken}"
+            ));
         });
         thread::sleep(Duration::from_millis(300));
         leaving.server.is_leaving.store(true, Ordering::SeqCst);
@@ -92,21 +101,36 @@
         let judged_from = (left_at + DRAIN_MS).max(calm_from + STABLE_WINDOW_MS);
         let sent: Vec<(String, u64)> = thread::scope(|scope| {
             let clients: Vec<_> = (0..CLIENTS)
-                .map(|n| scope.spawn(move || pay(record, client_machine, n, left_at + STAY_MS - 500)))
+                .map(|n| {
+                    scope.spawn(move || pay(record, client_machine, n, left_at + STAY_MS - 500))
+                })
                 .collect();
-            clients.into_iter().flat_map(|c| c.join().unwrap()).collect()
+            clients
+                .into_iter()
+                .flat_map(|c| c.join().unwrap())
+                .collect()
         });
         let runs = leaving.server.runs.lock().unwrap().clone();
         let is_late = |r: &&crate::server::Run| {
-            let sent_at = sent.iter().find(|(id, _)| *id == r.request).map(|(_, at)| *at);
+            let sent_at = sent
+                .iter()
+                .find(|(id, _)| *id == r.request)
+                .map(|(_, at)| *at);
             sent_at.is_some_and(|at| at >= judged_from) && r.at > left_at + DRAIN_MS
         };
         let late: Vec<_> = runs.iter().filter(is_late).collect();
         for run in &late {
             let after = run.at - left_at;
-            record.add(format!("DRAIN: {} reached {id} {after} ms after its leaving was acknowledged", run.request));
+            record.add(format!(
+                "DRAIN: {} reached {id} {after} ms after its leaving was acknowledged",
+                run.request
+            ));
         }
-        println!("{} requests sent, {} reached the server that had left", sent.len(), late.len());
+        println!(
+            "{} requests sent, {} reached the server that had left",
+            sent.len(),
+            late.len()
+        );
         Ok(!late.is_empty())
     })
 }
--- a/review/standin/late_config.rs
+++ b/review/standin/late_config.rs
@@ -1,8 +1,8 @@
 //! The machines that follow the configuration are cut off from the store while it changes.
 
-use crate::Outcome;
 use crate::client::{Client, End, Request};
 use crate::mesh::{Machine, Mesh};
+use crate::Outcome;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -15,11 +15,17 @@
 const MAX_CUT: usize = 5;
 /// Number of times that the watches are looked at; a watch that has just ended is made again at once.
 const SAMPLES: u32 = 20;
-const MACHINES: [&str; 9] = ["desk", "desk", "desk", "till", "till", "till", "bank", "bank", "bank"];
+const MACHINES: [&str; 9] = [
+    "desk", "desk", "desk", "till", "till", "till", "bank", "bank", "bank",
+];
 
 pub fn mesh(seed: u64) -> Mesh {
     let mesh = Mesh::start(&MACHINES, 9, Duration::from_millis(60), seed);
-    mesh.configure(7, 1200, &[("unsafe", "/pay/", "till"), ("safe", "/old/", "desk")]);
+    mesh.configure(
+        7,
+        1200,
+        &[("unsafe", "/pay/", "till"), ("safe", "/old/", "desk")],
+    );
     mesh
 }
 
@@ -52,7 +58,14 @@
             let is_refused = matches!(client.send(&added, record), End::Answer(404, ..));
             let is_run = matches!(client.send(&removed, record), End::Answer(200, ..));
             client.send(&moved, record);
-            let ran_at = mesh.machines.iter().find(|m| m.server.runs.lock().unwrap().iter().any(|r| r.request == moved.id));
+            let ran_at = mesh.machines.iter().find(|m| {
+                m.server
+                    .runs
+                    .lock()
+                    .unwrap()
+                    .iter()
+                    .any(|r| r.request == moved.id)
+            });
             let is_misplaced = ran_at.is_some_and(|m| m.service == "till");
             if sent_at <= changed_at + CONFIG_APPLY_MS {
                 continue;
@@ -64,7 +77,10 @@
                 (is_misplaced, &moved.id, "run by the old service"),
             ] {
                 if is_late {
-                    late.push(format!("CONFIG: {id}, sent {after} ms after the acknowledgement to {}: {what}", machine.name));
+                    late.push(format!(
+                        "CONFIG: {id}, sent {after} ms after the acknowledgement to {}: {what}",
+                        machine.name
+                    ));
                 }
             }
         }
@@ -79,7 +95,10 @@
     let mut readers: Vec<&Arc<Machine>> = Vec::new();
     for _ in 0..SAMPLES {
         let known: Vec<String> = readers.iter().map(|m| m.name.clone()).collect();
-        let watching = mesh.machines.iter().filter(|m| m.store_path.watches_config());
+        let watching = mesh
+            .machines
+            .iter()
+            .filter(|m| m.store_path.watches_config());
         readers.extend(watching.filter(|m| !known.contains(&m.name)));
         thread::sleep(Duration::from_millis(20));
     }
@@ -87,19 +106,32 @@
     if readers.is_empty() || readers.len() > MAX_CUT {
         return Err(format!("{} machines read the configuration", readers.len()));
     }
-    let others: Vec<&Arc<Machine>> = mesh.machines.iter().filter(|m| !names.contains(&m.name.as_str())).collect();
+    let others: Vec<&Arc<Machine>> = mesh
+        .machines
+        .iter()
+        .filter(|m| !names.contains(&m.name.as_str()))
+        .collect();
     let cut_at = mesh.record.now();
     if has_trouble {
         readers.iter().for_each(|m| m.store_path.set_cut(true));
-        mesh.record.add(format!("cut off from the store: {}", names.join(", ")));
+        mesh.record
+            .add(format!("cut off from the store: {}", names.join(", ")));
     }
     thread::sleep(Duration::from_millis(500));
-    mesh.configure(8, 1200, &[("unsafe", "/pay/", "bank"), ("safe", "/new/", "desk")]);
+    mesh.configure(
+        8,
+        1200,
+        &[("unsafe", "/pay/", "bank"), ("safe", "/new/", "desk")],
+    );
     let changed_at = mesh.record.now();
     let late = judge(mesh, &others, changed_at, cut_at + CUT_MS);
     readers.iter().for_each(|m| m.store_path.set_cut(false));
     late.iter().for_each(|line| mesh.record.add(line.clone()));
-    let state = if has_trouble { "cut off" } else { "not cut off" };
+    let state = if has_trouble {
+        "cut off"
+    } else {
+        "not cut off"
+    };
     println!("{} of {} machines read the configuration, {state}; {} requests handled by the older version", readers.len(), MACHINES.len(), late.len());
     Ok(!late.is_empty())
 }
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -14,7 +14,7 @@
 mod uploads;
 
 use mesh::Mesh;
-use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::process::exit;
 use std::thread;
 use std::time::Duration;
@@ -25,7 +25,7 @@
 /// Time after which a case is given up.
 const TIME_LIMIT: Duration = Duration::from_secs(115);
 
-/// Starts a mesh, plays a case on it, writes the record, and ends all processes.
+/// Plays a case on a mesh, writes the record, and ends all processes.
 fn play(folder: &str, mesh: Mesh, case: impl FnOnce(&Mesh, bool) -> Outcome) -> i32 {
     let has_trouble = std::env::var("TROUBLE").map_or(true, |v| v != "0");
     let played = AssertUnwindSafe(|| case(&mesh, has_trouble));
@@ -54,13 +54,19 @@
         eprintln!("the case takes too long");
         exit(2);
     });
-    let seed = std::env::var("SEED").ok().and_then(|s| s.parse().ok()).unwrap_or(u64::from(std::process::id()));
-    let code = match name.as_str() {
+    let seed = std::env::var("SEED")
+        .ok()
+        .and_then(|s| s.parse().ok())
+        .unwrap_or(u64::from(std::process::id()));
+    let run = || match name.as_str() {
         "second-answer" => play(folder, second_answer::mesh(seed), second_answer::play),
         "late-beat" => play(folder, late_beat::mesh(seed), late_beat::play),
         "late-config" => play(folder, late_config::mesh(seed), late_config::play),
         "uploads" => play(folder, uploads::mesh(seed), uploads::play),
         _ => 2,
     };
+    // A panic while the mesh starts, for example because an address is taken.
+    let code = catch_unwind(AssertUnwindSafe(run)).unwrap_or(2);
+    mesh::end_processes();
     exit(code);
 }
--- a/review/standin/mesh.rs
+++ b/review/standin/mesh.rs
@@ -18,7 +18,10 @@
 /// Ends all processes that were started.
 pub fn end_processes() {
     for pid in PROCESSES.lock().unwrap().drain(..) {
-        Command::new("kill").args(["-KILL", &pid.to_string()]).status().ok();
+        Command::new("kill")
+            .args(["-KILL", &pid.to_string()])
+            .status()
+            .ok();
     }
 }
 
@@ -46,8 +49,11 @@
 
 /// Value of `name = "..."` in the deploy file.
 fn deploy_value(text: &str, name: &str) -> String {
-    let line = text.lines().find_map(|l| l.strip_prefix(name)?.trim_start().strip_prefix('='));
-    line.map(|l| l.trim().trim_matches('"').to_owned()).expect("the deploy file has the value")
+    let line = text
+        .lines()
+        .find_map(|l| l.strip_prefix(name)?.trim_start().strip_prefix('='));
+    line.map(|l| l.trim().trim_matches('"').to_owned())
+        .expect("the deploy file has the value")
 }
 
 /// Fills in the template of the settings: values, and sections of values that are absent.
@@ -77,8 +83,13 @@
 fn free_ports(ips: &[String], count: usize) -> Vec<u16> {
     let mut ports = Vec::new();
     while ports.len() < count {
-        let port = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port").port();
-        let is_free = ips.iter().all(|ip| TcpListener::bind(format!("{ip}:{port}")).is_ok());
+        let port = TcpListener::bind("127.0.0.1:0")
+            .and_then(|l| l.local_addr())
+            .expect("a free port")
+            .port();
+        let is_free = ips
+            .iter()
+            .all(|ip| TcpListener::bind(format!("{ip}:{port}")).is_ok());
         if is_free && !ports.contains(&port) {
             ports.push(port);
         }
@@ -93,15 +104,25 @@
         let folder = std::env::temp_dir().join(format!("rf-review-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("a temporary folder");
         let net = std::process::id() % 200 + 20;
-        let ips: Vec<String> = (1..=services.len()).map(|n| format!("127.{net}.7.{n}")).collect();
-        let store_ips: Vec<String> = (1..=services.len()).map(|n| format!("127.{net}.9.{n}")).collect();
+        let ips: Vec<String> = (1..=services.len())
+            .map(|n| format!("127.{net}.7.{n}"))
+            .collect();
+        let store_ips: Vec<String> = (1..=services.len())
+            .map(|n| format!("127.{net}.9.{n}"))
+            .collect();
         let all = [ips.clone(), store_ips.clone()].concat();
         let ports = free_ports(&all, 6);
-        let at = |ip: &str, n: usize| -> SocketAddr { format!("{ip}:{}", ports[n]).parse().unwrap() };
+        let at =
+            |ip: &str, n: usize| -> SocketAddr { format!("{ip}:{}", ports[n]).parse().unwrap() };
         let store = Store::new();
         let deploy = fs::read_to_string("deploy/system.toml").expect("run in the project's root");
         let template = fs::read_to_string(deploy_value(&deploy, "template")).expect("the template");
-        let mut mesh = Mesh { store, machines: Vec::new(), record, folder };
+        let mut mesh = Mesh {
+            store,
+            machines: Vec::new(),
+            record,
+            folder,
+        };
         for (index, (service, ip)) in services.iter().zip(&ips).enumerate() {
             let name = format!("sidecar-a-{}", index + 1);
             let store_path = mesh.store.serve_at(at(&store_ips[index], 5));
@@ -128,7 +149,10 @@
             let settings = mesh.folder.join(format!("{name}.json"));
             fs::write(&settings, render(&template, &values)).expect("the settings can be written");
             let server = ServerSettings {
-                id: format!("i-{:08x}", seed.wrapping_mul(2_654_435_761).wrapping_add(index as u64) as u32),
+                id: format!(
+                    "i-{:08x}",
+                    seed.wrapping_mul(2_654_435_761).wrapping_add(index as u64) as u32
+                ),
                 service: text(service),
                 zone: text("zone-a"),
                 address: at(ip, 4),
@@ -162,7 +186,9 @@
         names.sort_unstable();
         names.dedup();
         let service = |s: &&str| {
-            format!(r#"{{"name":"{s}","healthPath":"/health","maxConnections":120,"protocol":"h1","tls":false}}"#)
+            format!(
+                r#"{{"name":"{s}","healthPath":"/health","maxConnections":120,"protocol":"h1","tls":false}}"#
+            )
         };
         let services: Vec<String> = names.iter().map(service).collect();
         let route = |(kind, prefix, service): &(&str, &str, &str)| {
@@ -178,7 +204,9 @@
             routes.join(",")
         );
         self.store.write("config", "main", &spec);
-        self.record.add(format!("the operator writes configuration r{version}; acknowledged"));
+        self.record.add(format!(
+            "the operator writes configuration r{version}; acknowledged"
+        ));
     }
 
     /// Waits until every proxy is ready.
@@ -215,8 +243,14 @@
         let run = deploy_value(&deploy, "run");
         let mut words = run.split(' ');
         let program = Path::new(words.next().unwrap_or_default());
-        let log = fs::File::options().create(true).append(true).open(&self.logs).expect("a log file");
-        let kept = ["PATH", "HOME", "LANG"].into_iter().filter_map(|n| Some((n, std::env::var_os(n)?)));
+        let log = fs::File::options()
+            .create(true)
+            .append(true)
+            .open(&self.logs)
+            .expect("a log file");
+        let kept = ["PATH", "HOME", "LANG"]
+            .into_iter()
+            .filter_map(|n| Some((n, std::env::var_os(n)?)));
         let child = Command::new(program)
             .args(words)
             .env_clear()
@@ -241,7 +275,13 @@
     }
 
     pub fn is_ready(&self) -> bool {
-        let probe = call(self.ready, "GET", "/api/readiness", "", Duration::from_secs(1));
+        let probe = call(
+            self.ready,
+            "GET",
+            "/api/readiness",
+            "",
+            Duration::from_secs(1),
+        );
         matches!(probe, Ok((200, _)))
     }
 }
--- a/review/standin/record.rs
+++ b/review/standin/record.rs
@@ -10,7 +10,10 @@
 
 impl Record {
     pub fn new() -> Record {
-        Record { start: Instant::now(), lines: Mutex::default() }
+        Record {
+            start: Instant::now(),
+            lines: Mutex::default(),
+        }
     }
 
     /// Returns the time since the start in milliseconds.
@@ -25,7 +28,10 @@
 
     pub fn write(&self, path: &str) {
         let lines = self.lines.lock().unwrap();
-        let text: String = lines.iter().map(|(at, line)| format!("{:>7}.{:03} s  {line}\n", at / 1000, at % 1000)).collect();
+        let text: String = lines
+            .iter()
+            .map(|(at, line)| format!("{:>7}.{:03} s  {line}\n", at / 1000, at % 1000))
+            .collect();
         std::fs::write(path, text).expect("the record can be written");
     }
 }
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -1,6 +1,6 @@
 //! Stand-in for a backend server and its heartbeats.
 
-use crate::http::{Conn, call};
+use crate::http::{call, Conn};
 use crate::record::Record;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -53,7 +53,10 @@
 impl Server {
     pub fn start(settings: ServerSettings, seed: u64, record: Arc<Record>) -> Arc<Server> {
         let listener = TcpListener::bind(settings.address).expect("the server's address is free");
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
+        let born = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap()
+            .as_millis() as u64;
         let server = Arc::new(Server {
             settings,
             born,
@@ -74,13 +77,11 @@
             }
         });
         let beating = server.clone();
-        thread::spawn(move || {
-            loop {
-                if beating.beats.load(Ordering::SeqCst) {
-                    beating.send_beat(&beating.make_beat());
-                }
-                thread::sleep(beating.settings.heartbeat);
+        thread::spawn(move || loop {
+            if beating.beats.load(Ordering::SeqCst) {
+                beating.send_beat(&beating.make_beat());
             }
+            thread::sleep(beating.settings.heartbeat);
         });
         server
     }
@@ -98,7 +99,13 @@
     /// Sends a heartbeat to the proxy on its machine; returns whether it was acknowledged.
     pub fn send_beat(&self, beat: &str) -> bool {
         let path = format!("/api/instances/{}", self.settings.id);
-        let result = call(self.settings.control, "PUT", &path, beat, Duration::from_secs(1));
+        let result = call(
+            self.settings.control,
+            "PUT",
+            &path,
+            beat,
+            Duration::from_secs(1),
+        );
         matches!(result, Ok((200..=299, _)))
     }
 
@@ -106,7 +113,13 @@
     pub fn withdraw(&self) -> bool {
         let path = format!("/api/instances/{}", self.settings.id);
         let body = format!(r#"{{"born":{}}}"#, self.born);
-        let result = call(self.settings.control, "DELETE", &path, &body, Duration::from_secs(1));
+        let result = call(
+            self.settings.control,
+            "DELETE",
+            &path,
+            &body,
+            Duration::from_secs(1),
+        );
         matches!(result, Ok((200..=299, _)))
     }
 
@@ -116,7 +129,9 @@
             let x = x ^ (x >> 7);
             x ^ (x << 17)
         };
-        let drawn = self.random.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |x| Some(next(x)));
+        let drawn = self
+            .random
+            .fetch_update(Ordering::SeqCst, Ordering::SeqCst, |x| Some(next(x)));
         (drawn.unwrap_or(1) >> 11) as f64 / (1u64 << 53) as f64
     }
 
@@ -125,20 +140,31 @@
         let mut late: Option<(String, Vec<u8>)> = None;
         loop {
             let Ok(head) = conn.read_head() else { return };
-            let Ok(body) = conn.read_body(&head) else { return };
+            let Ok(body) = conn.read_body(&head) else {
+                return;
+            };
             if let Some((request, answer)) = late.take() {
-                self.record.add(format!("server {} sends a second answer to {request}", self.settings.id));
+                self.record.add(format!(
+                    "server {} sends a second answer to {request}",
+                    self.settings.id
+                ));
                 if conn.write(&answer).is_err() {
                     return;
                 }
             }
-            let request = head.get("X-Rosemaryfork-Request-Id").unwrap_or("").to_owned();
+            let request = head
+                .get("X-Rosemaryfork-Request-Id")
+                .unwrap_or("")
+                .to_owned();
             let expected = head.get("X-Rosemaryfork-Expect-Instance");
             let faults = *self.faults.lock().unwrap();
             let answer = if expected.is_some_and(|id| id != self.settings.id) {
                 self.answer(421, &request, "X-Rosemaryfork-Not-Executed: 1\r\n", "")
             } else if self.draw() < faults.shed {
-                self.record.add(format!("server {} rejects {request}, not run", self.settings.id));
+                self.record.add(format!(
+                    "server {} rejects {request}, not run",
+                    self.settings.id
+                ));
                 self.answer(503, &request, "X-Rosemaryfork-Not-Executed: 1\r\n", "")
             } else {
                 self.run(&request, body.len());
@@ -162,8 +188,14 @@
         }
         *count += 1;
         drop(count);
-        self.record.add(format!("server {} runs {request} ({length} bytes)", self.settings.id));
-        let run = Run { request: request.to_owned(), at: self.record.now() };
+        self.record.add(format!(
+            "server {} runs {request} ({length} bytes)",
+            self.settings.id
+        ));
+        let run = Run {
+            request: request.to_owned(),
+            at: self.record.now(),
+        };
         self.runs.lock().unwrap().push(run);
         thread::sleep(self.settings.work);
         *running.lock().unwrap() -= 1;
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -54,7 +54,12 @@
 impl State {
     fn write(&mut self, kind: &str, name: &str, change: impl FnOnce(&mut Object)) -> String {
         let key = (kind.to_owned(), name.to_owned());
-        let fresh = Object { created: 0, revision: 0, spec: Json::Null, status: Json::Null };
+        let fresh = Object {
+            created: 0,
+            revision: 0,
+            spec: Json::Null,
+            status: Json::Null,
+        };
         let before = self.objects.get(&key).cloned().unwrap_or(fresh);
         let mut object = before.clone();
         change(&mut object);
@@ -68,7 +73,8 @@
         }
         let text = describe(name, &object);
         self.objects.insert(key, object);
-        self.history.push((self.revision, kind.to_owned(), text.clone(), false));
+        self.history
+            .push((self.revision, kind.to_owned(), text.clone(), false));
         text
     }
 }
@@ -96,16 +102,20 @@
     fn serve(&self, mut conn: Conn) {
         loop {
             let Ok(head) = conn.read_head() else { return };
-            let Ok(body) = conn.read_body(&head) else { return };
+            let Ok(body) = conn.read_body(&head) else {
+                return;
+            };
             if !self.passes() {
                 return;
             }
             let body = Json::parse(&String::from_utf8_lossy(&body)).unwrap_or(Json::Null);
             thread::sleep(ANSWER_TIME);
             let is_watch = head.word(1).starts_with("/api/objects/config?watch=");
-            self.watches.fetch_add(u32::from(is_watch), Ordering::SeqCst);
+            self.watches
+                .fetch_add(u32::from(is_watch), Ordering::SeqCst);
             let (status, body) = self.store.answer(head.word(0), head.word(1), &body);
-            self.watches.fetch_sub(u32::from(is_watch), Ordering::SeqCst);
+            self.watches
+                .fetch_sub(u32::from(is_watch), Ordering::SeqCst);
             if !self.passes() {
                 return;
             }
@@ -156,7 +166,8 @@
 
     fn answer(&self, method: &str, target: &str, body: &Json) -> (u16, String) {
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
-        let query: BTreeMap<&str, &str> = query.split('&').filter_map(|p| p.split_once('=')).collect();
+        let query: BTreeMap<&str, &str> =
+            query.split('&').filter_map(|p| p.split_once('=')).collect();
         let rest = path.strip_prefix("/api/objects/").unwrap_or("");
         let parts: Vec<&str> = rest.split('/').collect();
         let null = || "null".to_owned();
@@ -177,10 +188,19 @@
         let result = match (method, parts.as_slice(), existing) {
             ("GET", [kind], _) => {
                 let after = query.get("after").copied().unwrap_or("");
-                let all = state.objects.iter().filter(|((k, n), _)| k == kind && n.as_str() > after);
+                let all = state
+                    .objects
+                    .iter()
+                    .filter(|((k, n), _)| k == kind && n.as_str() > after);
                 let items: Vec<String> = all.map(|((_, n), o)| describe(n, o)).collect();
                 let list = items.join(",");
-                (200, format!(r#"{{"items":[{list}],"hasMore":false,"currentRev":{}}}"#, state.revision))
+                (
+                    200,
+                    format!(
+                        r#"{{"items":[{list}],"hasMore":false,"currentRev":{}}}"#,
+                        state.revision
+                    ),
+                )
             }
             ("GET", [_, name], Some(object)) => (200, describe(name, &object)),
             ("POST", [_], Some(object)) => (409, describe(name, &object)),
@@ -188,7 +208,9 @@
                 let spec = body.get("spec").clone();
                 (201, state.write(kind, name, |o| o.spec = spec))
             }
-            ("PUT", _, Some(object)) if expected.is_some_and(|r| r != object.revision) => (409, describe(name, &object)),
+            ("PUT", _, Some(object)) if expected.is_some_and(|r| r != object.revision) => {
+                (409, describe(name, &object))
+            }
             ("PUT", [kind, name], Some(_)) => {
                 let spec = body.get("spec").clone();
                 (200, state.write(kind, name, |o| o.spec = spec))
@@ -200,7 +222,12 @@
             ("DELETE", [kind, name], Some(object)) => {
                 state.objects.remove(&key);
                 state.revision += 1;
-                let change = (state.revision, (*kind).to_owned(), describe(name, &object), true);
+                let change = (
+                    state.revision,
+                    (*kind).to_owned(),
+                    describe(name, &object),
+                    true,
+                );
                 state.history.push(change);
                 (200, null())
             }
@@ -215,13 +242,22 @@
         let (state, changed) = &*self.state;
         let mut state = state.lock().unwrap();
         loop {
-            let news = state.history.iter().filter(|(r, k, _, _)| *r > after && k == kind);
-            let news: Vec<String> =
-                news.map(|(_, _, object, deleted)| format!(r#"{{"deleted":{deleted},"object":{object}}}"#)).collect();
+            let news = state
+                .history
+                .iter()
+                .filter(|(r, k, _, _)| *r > after && k == kind);
+            let news: Vec<String> = news
+                .map(|(_, _, object, deleted)| {
+                    format!(r#"{{"deleted":{deleted},"object":{object}}}"#)
+                })
+                .collect();
             let left = end.saturating_duration_since(Instant::now());
             if !news.is_empty() || left.is_zero() {
                 let events = news.join(",");
-                return (200, format!(r#"{{"events":[{events}],"currentRev":{}}}"#, state.revision));
+                return (
+                    200,
+                    format!(r#"{{"events":[{events}],"currentRev":{}}}"#, state.revision),
+                );
             }
             state = changed.wait_timeout(state, left).unwrap().0;
         }
--- a/review/standin/uploads.rs
+++ b/review/standin/uploads.rs
@@ -1,16 +1,16 @@
 //! Many clients upload files at once, in chunks.
 
-use crate::Outcome;
 use crate::client::{Client, End, Request};
-use crate::mesh::{MEMORY_MB, Machine, Mesh};
+use crate::mesh::{Machine, Mesh, MEMORY_MB};
+use crate::Outcome;
 use std::collections::BTreeSet;
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Mutex;
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// Length of an uploaded file; an eighth of `maxBodyBytes`.
-const FILE_BYTES: usize = 8 * 1024 * 1024;
+/// Length of an uploaded file; less than a sixth of `maxBodyBytes`.
+const FILE_BYTES: usize = 10 * 1024 * 1024;
 /// Clients that upload files, usually one after the other.
 const USERS: usize = 10;
 /// Time after which a client uploads its next file.
@@ -29,8 +29,17 @@
 const RESTART_DELAY: Duration = Duration::from_millis(1000);
 
 pub fn mesh(seed: u64) -> Mesh {
-    let mesh = Mesh::start(&["desk", "vault", "vault"], 9, Duration::from_millis(190), seed);
-    mesh.configure(7, 2500, &[("unsafe", "/pay/", "desk"), ("upload", "/file/", "vault")]);
+    let mesh = Mesh::start(
+        &["desk", "vault", "vault"],
+        9,
+        Duration::from_millis(190),
+        seed,
+    );
+    mesh.configure(
+        7,
+        2500,
+        &[("unsafe", "/pay/", "desk"), ("upload", "/file/", "vault")],
+    );
     mesh
 }
 
@@ -38,12 +47,20 @@
 fn memory_mb(pid: u32) -> u64 {
     let text = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
     let line = text.lines().find_map(|l| l.strip_prefix("VmRSS:"));
-    line.and_then(|l| l.trim().split(' ').next()?.parse::<u64>().ok()).unwrap_or(0) / 1024
+    line.and_then(|l| l.trim().split(' ').next()?.parse::<u64>().ok())
+        .unwrap_or(0)
+        / 1024
 }
 
 /// Kills the process of a machine when it exceeds its memory, and starts it again, as the platform
 /// does. Counts the kills.
-fn guard_memory(mesh: &Mesh, machine: &Machine, kills: &AtomicU64, most: &AtomicU64, is_over: &AtomicBool) {
+fn guard_memory(
+    mesh: &Mesh,
+    machine: &Machine,
+    kills: &AtomicU64,
+    most: &AtomicU64,
+    is_over: &AtomicBool,
+) {
     while !is_over.load(Ordering::SeqCst) {
         let pid = machine.process.lock().unwrap().as_ref().map(|c| c.id());
         let used = pid.map_or(0, memory_mb);
@@ -51,7 +68,10 @@
         if used > MEMORY_MB {
             machine.kill_process();
             kills.fetch_add(1, Ordering::SeqCst);
-            mesh.record.add(format!("the process on {} uses {used} MB of {MEMORY_MB} MB and is killed", machine.name));
+            mesh.record.add(format!(
+                "the process on {} uses {used} MB of {MEMORY_MB} MB and is killed",
+                machine.name
+            ));
             thread::sleep(RESTART_DELAY);
             machine.start_process();
         }
@@ -137,7 +157,8 @@
             thread::scope(|scope| {
                 let more = (USERS as f64 * (BURST_FACTOR - 1.0)).round() as usize;
                 if has_trouble {
-                    mesh.record.add(format!("burst: {more} more clients upload"));
+                    mesh.record
+                        .add(format!("burst: {more} more clients upload"));
                     for number in 0..more {
                         let (name, is_past) = (format!("b{burst}x{number}"), &is_past);
                         scope.spawn(move || upload(mesh, &name, is_past));
@@ -153,17 +174,33 @@
     let runs: BTreeSet<String> = mesh
         .machines
         .iter()
-        .flat_map(|m| m.server.runs.lock().unwrap().iter().map(|r| r.request.clone()).collect::<Vec<_>>())
+        .flat_map(|m| {
+            m.server
+                .runs
+                .lock()
+                .unwrap()
+                .iter()
+                .map(|r| r.request.clone())
+                .collect::<Vec<_>>()
+        })
         .collect();
     let lost = lost.into_inner().unwrap();
     let lost: Vec<&String> = lost.iter().filter(|id| runs.contains(*id)).collect();
     for id in &lost {
-        mesh.record.add(format!("LOST: {id} was passed on to a server, and its connection ended without an answer"));
+        mesh.record.add(format!(
+            "LOST: {id} was passed on to a server, and its connection ended without an answer"
+        ));
     }
     for (machine, (kills, most)) in mesh.machines.iter().zip(kills.iter().zip(&most)) {
         let (kills, most) = (kills.load(Ordering::SeqCst), most.load(Ordering::SeqCst));
-        mesh.record.add(format!("{}: {most} MB at the peak, killed {kills} times", machine.name));
-        println!("{}: {most} MB at the peak, killed {kills} times", machine.name);
+        mesh.record.add(format!(
+            "{}: {most} MB at the peak, killed {kills} times",
+            machine.name
+        ));
+        println!(
+            "{}: {most} MB at the peak, killed {kills} times",
+            machine.name
+        );
     }
     println!("{} requests on kept connections were lost", lost.len());
     Ok(lost.len() > MAX_LOST)
