Decode the objects of the store one by one

What callers would see: with one object in the store that nests too deeply or holds a number out of range, no proxy adopts a new configuration or an order to change a version, and a proxy that starts finds no others. The processes read the list again and again, each time in vain.

Cause: the answer was decoded as one value, so a limit of the decoder that one entry exceeds failed the list or the watch. A page of odd objects ended the list.

Change: entries are kept as text and decoded one by one, each with a log line and a counter for those left out. Implausible numbers are refused.

--- a/crates/proxy/src/control/sync.rs
+++ b/crates/proxy/src/control/sync.rs
@@ -127,6 +127,7 @@
             match read {
                 Ok(snapshot) => {
                     backoff.reset();
+                    self.count_unreadable(topic, &snapshot);
                     let revision = snapshot.revision;
                     self.send_snapshot(snapshot).await;
                     self.watch(topic, revision).await;
@@ -154,6 +155,7 @@
             match watched {
                 Ok(snapshot) => {
                     backoff.reset();
+                    self.count_unreadable(topic, &snapshot);
                     let is_changed = snapshot.table.is_some() || !snapshot.rollouts.is_empty();
                     revision = snapshot.revision.max(revision);
                     self.send_snapshot(snapshot).await;
@@ -175,11 +177,12 @@
     }
 
     fn observe<T>(&self, topic: Topic, call: &str, result: &Result<T>) {
-        let kind = match topic {
-            Topic::Table => format!("{call}-table"),
-            Topic::Rollouts => format!("{call}-rollouts"),
-        };
-        self.count(&kind, result);
+        self.count(&format!("{call}-{}", name_of(topic)), result);
+    }
+
+    fn count_unreadable(&self, topic: Topic, snapshot: &Snapshot) {
+        let metrics = &self.shared.metrics;
+        metrics.count_unreadable(name_of(topic), snapshot.unreadable);
     }
 
     fn count<T>(&self, kind: &str, result: &Result<T>) {
@@ -219,7 +222,10 @@
                 self.count("entries", &entries);
                 if let Ok(entries) = entries {
                     is_sparse = false;
-                    self.events.send(Event::EntriesRead(entries)).await.ok();
+                    let metrics = &self.shared.metrics;
+                    metrics.count_unreadable("proxies", entries.unreadable);
+                    let read = Event::EntriesRead(entries.entries);
+                    self.events.send(read).await.ok();
                 }
             }
             task::sleep(ENTRIES_INTERVAL.duration()).await;
@@ -239,3 +245,11 @@
         }
     }
 }
+
+/// Returns the name of a topic for metrics.
+fn name_of(topic: Topic) -> &'static str {
+    match topic {
+        Topic::Table => "table",
+        Topic::Rollouts => "rollouts",
+    }
+}
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -33,6 +33,8 @@
     pub ledger_queries: IntCounterVec,
     /// Store calls by kind and result.
     pub store_calls: IntCounterVec,
+    /// Objects of the store that were not decoded, by kind; counted at each read.
+    pub unreadable_objects: IntCounterVec,
     /// Messages sent to other proxies, by kind and result.
     pub messages: IntCounterVec,
     /// Bytes exchanged with other proxies, by message kind and whether they leave the availability
@@ -133,6 +135,11 @@
                 "Calls to the store",
                 &["kind", "result"],
             ),
+            unreadable_objects: counters(
+                "unreadable_objects_total",
+                "Objects of the store that were not decoded",
+                &["kind"],
+            ),
             messages: counters("messages_total", "Messages to proxies", &["kind", "result"]),
             relay_bytes: counters(
                 "relay_bytes_total",
@@ -175,6 +182,12 @@
             .inc_by(bytes);
     }
 
+    /// Counts objects of a kind that a read of the store left out.
+    pub fn count_unreadable(&self, kind: &str, count: usize) {
+        let counter = self.unreadable_objects.with_label_values(&[kind]);
+        counter.inc_by(count as u64);
+    }
+
     /// Counts a change of what the local backend server says about itself.
     pub fn count_statement(&self, kind: &str) {
         self.statements.with_label_values(&[kind]).inc();
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -7,7 +7,7 @@
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
 use crate::shared::Shared;
-use crate::source::{ProxyEntry, Source};
+use crate::source::{ProxyEntries, ProxyEntry, Source};
 use crate::{admin, ingress, peers};
 use async_channel::{Sender, bounded};
 use async_std::future::timeout;
@@ -23,6 +23,9 @@
 
 /// Maximum number of events that wait for the control thread.
 const EVENT_QUEUE: usize = 4096;
+/// Longest time by which the wall clock may have been set back since a process recorded its
+/// incarnation.
+const MAX_CLOCK_STEP: Millis = Millis::from_secs(24 * 3600);
 /// Timeout for reading this proxy's earlier incarnation from the store at start.
 const INCARNATION_TIMEOUT: Millis = Millis(800);
 /// Minimum time from the stop signal to the exit: the platform removes an instance after two failed
@@ -92,7 +95,8 @@
         let readiness = bind(listen.readiness).await?;
         let announcements = bind(listen.announcements).await?;
         let me = InstanceId::of(&settings.instance);
-        let (incarnation, entries) = choose_incarnation(&source, me, &clock).await;
+        let known = read_entries(&source).await;
+        let incarnation = choose_incarnation(&known.entries, me, &clock);
         let seed = hash_key(format!("{} {incarnation}", settings.instance).as_bytes());
         let mut random = SeededRandom::new(seed);
         let started = clock.now();
@@ -121,7 +125,8 @@
         Driver::new(shared.clone(), source.clone(), events.clone())
             .spawn(control, inbox)
             .context(ThreadSnafu)?;
-        StoreSync::start(shared.clone(), source, events.clone(), entry, entries);
+        shared.metrics.count_unreadable("proxies", known.unreadable);
+        StoreSync::start(shared.clone(), source, events.clone(), entry, known.entries);
         task::spawn(ingress::serve(shared.clone(), callers));
         task::spawn(peers::serve(shared.clone(), relay));
         for listener in [readiness, announcements] {
@@ -190,28 +195,32 @@
         .context(ListenSnafu { address })
 }
 
-/// Chooses an incarnation that is later than the one recorded in the store, even if the wall clock
-/// was set back since. Also returns the entries of all proxies; empty if the store did not answer.
-async fn choose_incarnation<S: Source>(
-    source: &S,
-    me: InstanceId,
-    clock: &Clock,
-) -> (Incarnation, Vec<ProxyEntry>) {
-    let now = clock.now().0;
-    let entries = match timeout(INCARNATION_TIMEOUT.duration(), source.entries()).await {
+/// Reads the entries of all proxies; empty if the store did not answer.
+async fn read_entries<S: Source>(source: &S) -> ProxyEntries {
+    match timeout(INCARNATION_TIMEOUT.duration(), source.entries()).await {
         Ok(Ok(entries)) => entries,
         Ok(Err(error)) => {
             warn!(event = "life.unconfirmed", %error);
-            Vec::new()
+            ProxyEntries::default()
         }
         Err(_) => {
             warn!(event = "life.unconfirmed", error = "no answer in time");
-            Vec::new()
+            ProxyEntries::default()
         }
-    };
+    }
+}
+
+/// Chooses an incarnation that is later than the recorded one, even if the wall clock was set back
+/// since. A record that no clock step explains is ignored.
+fn choose_incarnation(entries: &[ProxyEntry], me: InstanceId, clock: &Clock) -> Incarnation {
+    let now = clock.now();
     let recorded = entries.iter().find(|e| e.instance == me);
-    let minimum = recorded.map_or(0, |e| e.incarnation.0 + 1);
-    (Incarnation(now.max(minimum)), entries)
+    let recorded = recorded.map_or(0, |e| e.incarnation.0);
+    if recorded > (now + MAX_CLOCK_STEP).0 {
+        warn!(event = "life.implausible", recorded, now = now.0);
+        return Incarnation(now.0);
+    }
+    Incarnation(now.0.max(recorded + 1))
 }
 
 fn create_control(
--- a/crates/proxy/src/source.rs
+++ b/crates/proxy/src/source.rs
@@ -65,6 +65,8 @@
     pub rollouts: Vec<Rollout>,
     /// Revision of the store up to which changes are included.
     pub revision: Revision,
+    /// Number of objects that could not be decoded and are left out.
+    pub unreadable: usize,
 }
 
 /// Store entry through which proxies discover each other.
@@ -81,6 +83,15 @@
     pub incarnation: Incarnation,
 }
 
+/// Entries of all proxies.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ProxyEntries {
+    /// Entries that could be decoded.
+    pub entries: Vec<ProxyEntry>,
+    /// Number of entries that could not be decoded and are left out.
+    pub unreadable: usize,
+}
+
 /// Store through which operators configure the mesh and proxies discover each other.
 pub trait Source: Clone + Send + Sync + 'static {
     /// Reads all objects of a topic.
@@ -109,7 +120,7 @@
     fn era(&self) -> u64;
 
     /// Reads the entries of all proxies.
-    fn entries(&self) -> impl Future<Output = Result<Vec<ProxyEntry>>> + Send;
+    fn entries(&self) -> impl Future<Output = Result<ProxyEntries>> + Send;
 
     /// Writes the state of a rollout, unless its object was changed since it was read.
     fn record(
--- a/crates/standin/src/users/store.rs
+++ b/crates/standin/src/users/store.rs
@@ -69,6 +69,8 @@
     objects: BTreeMap<(String, String), StoredObject>,
     fault: StoreFault,
     calls: u64,
+    /// Texts that stand in answers for specs of this value.
+    raw_specs: BTreeMap<String, String>,
 }
 
 /// A running store; clones share its state.
@@ -154,12 +156,25 @@
         self.lock().put(kind, name, Some(spec), None)
     }
 
+    /// Writes an object whose spec is any text in answers, as another writer could leave it.
+    pub fn write_raw(&self, kind: &str, name: &str, spec: &str) {
+        let placeholder = format!("raw {kind} {name}");
+        let mut state = self.lock();
+        let key = format!("\"{placeholder}\"");
+        state.raw_specs.insert(key, spec.to_owned());
+        state.put(kind, name, Some(Value::String(placeholder)), None);
+    }
+
     /// Returns the status of an object, or `None` if it does not exist.
     pub fn status(&self, kind: &str, name: &str) -> Option<Value> {
-        let key = (kind.to_owned(), name.to_owned());
         let state = self.lock();
-        let object = state.objects.get(&key).filter(|o| !o.is_deleted)?;
-        Some(object.status.clone())
+        state.existing(kind, name).map(|o| o.status.clone())
+    }
+
+    /// Returns the spec of an object, or `None` if it does not exist.
+    pub fn spec(&self, kind: &str, name: &str) -> Option<Value> {
+        let state = self.lock();
+        state.existing(kind, name).map(|o| o.spec.clone())
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -214,8 +229,16 @@
         let (status, value) = self.execute(head, body).await;
         match fault {
             StoreFault::LoseAnswers => futures_lite::future::pending().await,
-            _ => Some((status, value.to_string().into_bytes())),
+            _ => Some((status, self.encode(&value))),
+        }
+    }
+
+    fn encode(&self, value: &Value) -> Vec<u8> {
+        let mut text = value.to_string();
+        for (placeholder, raw) in &self.lock().raw_specs {
+            text = text.replace(placeholder, raw);
         }
+        text.into_bytes()
     }
 
     async fn execute(&self, head: &RequestHead, body: &[u8]) -> (u16, Value) {
--- a/crates/traffic/src/local_server.rs
+++ b/crates/traffic/src/local_server.rs
@@ -68,12 +68,18 @@
     Stale,
     /// Its process has withdrawn.
     Departed,
+    /// It names a start time that lies in the future.
+    Implausible,
 }
 
 /// Time after a withdrawal within which heartbeats that were sent before it may still arrive. The
 /// network partitions that users see last about ten seconds.
 const LATE_HEARTBEAT: Millis = Millis::from_secs(60);
 
+/// Longest time by which the clock may have been set back since a backend server started. A start
+/// time further in the future would outrank every announcement to come.
+const MAX_CLOCK_STEP: Millis = Millis::from_secs(24 * 3600);
+
 /// Minimum time by which the announced end of the cold start must be later than the known one to
 /// count as a new cold start.
 const COLD_START_INCREASE: Millis = Millis(500);
@@ -127,6 +133,9 @@
         if announcement.address != self.address || announcement.service != self.service {
             return Change::Ignored(Ignored::Foreign);
         }
+        if is_future(now, announcement.started_ms) {
+            return Change::Ignored(Ignored::Implausible);
+        }
         if self.is_withdrawn(now, announcement) {
             return Change::Ignored(Ignored::Departed);
         }
@@ -181,6 +190,9 @@
     /// Applies the withdrawal of the process `id`; `started_ms` is the start time of the process if
     /// the withdrawal names it.
     pub fn withdraw(&mut self, now: Millis, id: &str, started_ms: Option<u64>) -> Change {
+        if started_ms.is_some_and(|started| is_future(now, started)) {
+            return Change::Ignored(Ignored::Implausible);
+        }
         match &self.newest {
             Some((newest, _, known)) if known == id => {
                 if started_ms.is_some_and(|started| started < *newest) {
@@ -231,3 +243,7 @@
         }
     }
 }
+
+fn is_future(now: Millis, started_ms: u64) -> bool {
+    started_ms > (now + MAX_CLOCK_STEP).0
+}
--- a/crates/traffic/tests/local_server.rs
+++ b/crates/traffic/tests/local_server.rs
@@ -148,3 +148,17 @@
     let change = state.announce(NOW + Millis(1000), &later);
     assert_eq!(change, Change::Same);
 }
+
+// Guards against a server that is never used again because an odd heartbeat outranks all its own.
+#[test]
+fn a_start_time_far_in_the_future_changes_nothing() {
+    let mut state = new_state();
+    for started_ms in [u64::MAX, 1 << 50] {
+        let odd = announce(&mut state, &announcement("odd", started_ms, 1, true));
+        assert_eq!(odd, Change::Ignored(Ignored::Implausible));
+        let gone = state.withdraw(NOW, "odd", Some(started_ms));
+        assert_eq!(gone, Change::Ignored(Ignored::Implausible));
+    }
+    let own = announce(&mut state, &announcement("a", 1, 1, true));
+    assert_eq!(own, Change::Opened);
+}
