Match replies between processes of the mesh to their attempts

What callers would see, if a reply came twice on a reused connection: the answer to another request (proxies), or "not run" for a call that ran (daemons).

A reply between proxies named no attempt, and a daemon took a reply without an attempt for a refusal.

Evidence: a link stand-in that sends the last reply once more. Without the change a proxy delivered the body of another request, and a daemon reported not-run for a call that had run.

Change: a reply to an attempt names it in a header, and one to another attempt, or of another kind, breaks the connection; the ledger then tells the outcome. A daemon accepts a reply without an attempt on a new connection only, where the listener refuses connections.

--- a/crates/daemon/src/traffic/attempt.rs
+++ b/crates/daemon/src/traffic/attempt.rs
@@ -391,11 +391,16 @@
     let address = connection.address();
     let mut response = connection.exchange(request).await?;
     let answered = headers::get_response(&response, headers::ANSWERED_ATTEMPT);
-    if answered.is_some_and(|a| a != id.to_string()) {
-        return Err(SendError::Broken {
-            address,
-            message: "answer belongs to another attempt".to_owned(),
-        });
+    let is_foreign = match answered {
+        Some(answered) => answered != id.to_string(),
+        // A refusal of the listener names no attempt. On a reused connection it may be the answer
+        // to an earlier message.
+        None => connection.is_reused(),
+    };
+    if is_foreign {
+        let named = answered.unwrap_or("no attempt");
+        let message = format!("answer to {named} instead of {id}");
+        return Err(SendError::Broken { address, message });
     }
     let is_closing = wants_close(&response);
     let declared = response.len();
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -12,7 +12,7 @@
 use async_std::future::timeout;
 use async_std::net::TcpListener;
 use futures_lite::FutureExt;
-use rf_base::{ConfigVersion, Millis};
+use rf_base::{AttemptId, ConfigVersion, Millis};
 use rf_config::{RepeatPolicy, TableDigest, TablePatch};
 use rf_protocol::relay::{AttemptEnd, AttemptRequest, Rejection, RelayReply, RelayRequest};
 use rf_traffic::Reservation;
@@ -46,10 +46,8 @@
         let Some(answer) = answer(&shared, &mut connection, message).await else {
             return;
         };
-        if write_reply(&shared, &mut connection, &answer.reply)
-            .await
-            .is_err()
-        {
+        let written = write_reply(&shared, &mut connection, &answer.reply, answer.attempt);
+        if written.await.is_err() {
             return;
         }
     }
@@ -70,9 +68,13 @@
     shared: &Shared<D>,
     connection: &mut Connection,
     reply: &RelayReply,
+    attempt: Option<AttemptId>,
 ) -> std::io::Result<()> {
     let body = relay::encode(reply).map_err(std::io::Error::other)?;
     let mut head = ResponseHead::new(200);
+    if let Some(attempt) = attempt {
+        head.headers.add(relay::ATTEMPT, &attempt.to_string());
+    }
     let body = compression::compress(body, &mut head.headers);
     let mut bytes = head.encode(Some(body.len()));
     bytes.extend_from_slice(&body);
@@ -82,6 +84,8 @@
 /// Reply together with the guards that are held until it is written.
 struct Answer {
     reply: RelayReply,
+    /// Attempt that is answered, unless the message was another one.
+    attempt: Option<AttemptId>,
     /// Capacity for the answer that is reserved on this instance's link.
     _reservation: Option<Reservation>,
     _unsent: Option<PendingReply>,
@@ -123,6 +127,7 @@
     };
     Some(Answer {
         reply,
+        attempt: None,
         _reservation: None,
         _unsent: None,
     })
@@ -181,7 +186,8 @@
         Ok(reservation) => reservation,
         Err(rejection) => return Some(Err(rejection)),
     };
-    write_reply(shared, connection, &RelayReply::Continue)
+    let attempt_id = Some(attempt.key.id);
+    write_reply(shared, connection, &RelayReply::Continue, attempt_id)
         .await
         .ok()?;
     let limits = message_limits();
@@ -238,6 +244,7 @@
     let reply = RelayReply::Attempt(end, shared.gate.load(attempt.terms.route), elapsed);
     Some(Answer {
         reply,
+        attempt: Some(attempt.key.id),
         _reservation: reservation,
         _unsent: Some(unsent),
     })
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -12,12 +12,12 @@
 use crate::view::Target;
 use async_std::task;
 use futures_lite::FutureExt;
-use rf_base::Millis;
+use rf_base::{AttemptId, Millis};
 use rf_protocol::relay::{
     AttemptEnd, AttemptKey, AttemptRequest, LedgerAnswer, Loss, Rejection, RelayReply, RelayRequest,
 };
 use rf_traffic::placement::OfferReport;
-use rf_transport::h1::{Connection, Pool, ReadLimits, RequestHead, frame_response};
+use rf_transport::h1::{Connection, Pool, ReadLimits, RequestHead, ResponseHead, frame_response};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use snafu::Snafu;
@@ -27,6 +27,8 @@
 
 /// HTTP path of every message between proxies.
 pub const PATH: &str = "/relay";
+/// Header of a reply to an attempt that names the attempt.
+pub const ATTEMPT: &str = "Attempt";
 /// Maximum size of a message, in bytes.
 pub const MAX_MESSAGE_BYTES: usize = 80 * 1024 * 1024;
 /// Time without a reply after which the ledger is queried. Most replies come sooner.
@@ -165,10 +167,41 @@
         .map_err(lost)
 }
 
+/// Reads the reply to `attempt`, so that a reply to an earlier message on the connection is not
+/// taken for it. Replies of proxies of earlier releases name no attempt.
+async fn read_attempt_reply(
+    connection: &mut Connection,
+    attempt: AttemptId,
+) -> Result<(RelayReply, u64)> {
+    let head = read_head(connection).await?;
+    let named = head.headers.get(ATTEMPT);
+    if let Some(named) = named.filter(|named| *named != attempt.to_string()) {
+        let message = format!("reply to attempt {named} instead of {attempt}");
+        return Err(malformed(message));
+    }
+    let reply = read_content(connection, head).await?;
+    match reply.0 {
+        RelayReply::Attempt(..) | RelayReply::Continue => Ok(reply),
+        _ => Err(malformed("reply of an unexpected kind")),
+    }
+}
+
 /// Reads a reply; returns it with its encoded size in bytes.
 async fn read(connection: &mut Connection) -> Result<(RelayReply, u64)> {
+    let head = read_head(connection).await?;
+    read_content(connection, head).await
+}
+
+async fn read_head(connection: &mut Connection) -> Result<ResponseHead> {
+    let limits = message_limits();
+    connection.read_response(&limits).await.map_err(lost)
+}
+
+async fn read_content(
+    connection: &mut Connection,
+    head: ResponseHead,
+) -> Result<(RelayReply, u64)> {
     let limits = message_limits();
-    let head = connection.read_response(&limits).await.map_err(lost)?;
     let framing = frame_response(&head, "POST").map_err(malformed)?;
     let body = connection.read_body(framing, &limits).await.map_err(lost)?;
     let length = body.len() as u64;
@@ -219,13 +252,13 @@
     count("request", body.len() as u64);
     let exchange = async {
         write(&mut connection, target.relay, &body).await?;
-        let reply = read(&mut connection).await?;
+        let reply = read_attempt_reply(&mut connection, key.id).await?;
         match (&reply, long_body) {
             ((RelayReply::Continue, _), Some(long_body)) => {
                 count("request", long_body.len() as u64);
                 let message = encode(&RelayRequest::Body(long_body))?;
                 write_paced(shared, &mut connection, target.relay, &message).await?;
-                read(&mut connection).await
+                read_attempt_reply(&mut connection, key.id).await
             }
             _ => Ok(reply),
         }
--- a/crates/rosemaryfork/tests/calls.rs
+++ b/crates/rosemaryfork/tests/calls.rs
@@ -8,6 +8,7 @@
 use http_types::Method;
 use rf_base::{Millis, Verdict};
 use rf_standin::cluster::{Cluster, InstanceSpec, PREFIX, one_service};
+use rf_standin::link::{Link, LinkMode};
 use rf_standin::load::{Load, LoadOptions};
 use rf_standin::proxy::{DirectionFaults, Proxy, ProxyFaults};
 use rf_standin::server::{Behavior, CHAIN_PREFIX};
@@ -39,6 +40,75 @@
     (cluster, proxy)
 }
 
+/// Starts a cluster of two daemons: one without a backend server, and one whose relay port is
+/// reached through a link stand-in.
+async fn start_behind_link() -> (Cluster, Link) {
+    let mut cluster = Cluster::start(rf_standin::quickstart::quick_settings())
+        .await
+        .expect("cluster");
+    let front = InstanceSpec {
+        service: String::new(),
+        ..spec(0, "v1")
+    };
+    cluster.add(front).expect("front");
+    let outside = cluster.address_of(1, 7012);
+    let link = Link::default();
+    let starting = link.start(outside, cluster.address_of(1, 7002));
+    starting.await.expect("link address");
+    cluster
+        .add(InstanceSpec {
+            relay: Some(outside),
+            ..spec(1, "v1")
+        })
+        .expect("back");
+    common::apply_and_wait(&cluster, &one_service(&[("v1", 100)])).await;
+    (cluster, link)
+}
+
+// Guards against the reply to an earlier message of a reused connection, between daemons.
+#[test]
+fn a_reply_to_an_earlier_attempt_is_not_taken_for_the_answer() {
+    task::block_on(async {
+        let (cluster, link) = start_behind_link().await;
+        let front = cluster.instances[0].caller_address();
+        assert!(call(front, Method::Post, "/x", "first").await.is_some());
+        link.set_mode(LinkMode::Repeats);
+        for i in 0..12 {
+            let id = format!("call-{i}");
+            let response = call(front, Method::Post, "/x", &id).await;
+            let response = response.expect("an answer");
+            let runs = runs_of(&cluster, &id).await;
+            match verdict(&response) {
+                Some(Verdict::Ran) => {
+                    assert_eq!(response.header("x-request-id"), Some(id.as_str()));
+                    assert_eq!(runs, 1, "{id}");
+                }
+                Some(Verdict::NotRun) => assert_eq!(runs, 0, "{id}"),
+                other => panic!("{id}: reported {other:?}"),
+            }
+        }
+    });
+}
+
+// Guards against a reply that ends in its head and passes for an answer, between daemons.
+#[test]
+fn a_reply_cut_in_its_head_is_recovered_or_reported_truly() {
+    task::block_on(async {
+        let (cluster, link) = start_behind_link().await;
+        let front = cluster.instances[0].caller_address();
+        link.set_mode(LinkMode::Cuts);
+        let headers = [("rosemaryfork-deadline", "1500")];
+        let calling = call_with(front, Method::Post, "/x", "cut", &headers, Vec::new());
+        let response = calling.await.expect("an answer");
+        let runs = runs_of(&cluster, "cut").await;
+        match verdict(&response) {
+            Some(Verdict::NotRun) => assert_eq!(runs, 0),
+            Some(Verdict::MayHaveRun) => assert!(runs <= 1),
+            other => panic!("reported {other:?} without a whole reply"),
+        }
+    });
+}
+
 fn silent() -> DirectionFaults {
     DirectionFaults {
         is_silent: true,
--- /dev/null
+++ b/crates/standin/src/link.rs
@@ -0,0 +1,91 @@
+//! Stand-in for a link between two processes of the mesh that mixes up or cuts replies.
+//!
+//! It forwards HTTP messages, one connection to the far end for each connection that it accepts.
+
+use async_std::net::TcpListener;
+use async_std::task;
+use rf_base::Millis;
+use rf_transport::h1::{Connection, ReadLimits, frame_request, frame_response};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, Ordering};
+
+/// Timeout for connecting to the far end.
+const CONNECT_TIMEOUT: Millis = Millis(500);
+
+/// What a [`Link`] does to replies.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub enum LinkMode {
+    /// Forwards them.
+    Forwards,
+    /// Sends the last reply of the connection once more before it forwards a message.
+    Repeats,
+    /// Ends the connection in the middle of the head of a reply.
+    Cuts,
+}
+
+/// A link; clones share its mode.
+#[derive(Clone, Debug, Default)]
+pub struct Link {
+    mode: Arc<AtomicU8>,
+}
+
+impl Link {
+    /// Sets the mode for messages from now on.
+    pub fn set_mode(&self, mode: LinkMode) {
+        self.mode.store(mode as u8, Ordering::Relaxed);
+    }
+
+    fn is(&self, mode: LinkMode) -> bool {
+        self.mode.load(Ordering::Relaxed) == mode as u8
+    }
+
+    /// Forwards messages from `near` to `far` until the task is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system if it cannot listen on `near`.
+    pub async fn start(&self, near: SocketAddr, far: SocketAddr) -> std::io::Result<()> {
+        let listener = TcpListener::bind(near).await?;
+        let link = self.clone();
+        task::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let link = link.clone();
+                task::spawn(async move { link.forward(Connection::new(stream), far).await });
+            }
+        });
+        Ok(())
+    }
+
+    /// Forwards the messages of one connection until one of its ends closes it.
+    async fn forward(&self, mut near: Connection, far: SocketAddr) -> Option<()> {
+        let limits = ReadLimits::default();
+        let mut far = Connection::open(far, CONNECT_TIMEOUT).await.ok()?;
+        let mut last_reply = Vec::new();
+        loop {
+            let mut head = near.read_request(&limits).await.ok()?;
+            let framing = frame_request(&head).ok()?;
+            let body = near.read_body(framing, &limits).await.ok()?;
+            head.headers.strip_hop_by_hop();
+            if self.is(LinkMode::Repeats) {
+                near.write(&last_reply).await.ok()?;
+            }
+            let mut message = head.encode(body.len());
+            message.extend_from_slice(&body);
+            far.write(&message).await.ok()?;
+            let mut head = far.read_response(&limits).await.ok()?;
+            let framing = frame_response(&head, "POST").ok()?;
+            let body = far.read_body(framing, &limits).await.ok()?;
+            head.headers.strip_hop_by_hop();
+            last_reply = head.encode(Some(body.len()));
+            if self.is(LinkMode::Cuts) {
+                let middle = last_reply.len() / 2;
+                near.write(&last_reply[..middle]).await.ok()?;
+                return None;
+            }
+            last_reply.extend_from_slice(&body);
+            near.write(&last_reply).await.ok()?;
+        }
+    }
+}
--- a/crates/standin/src/users/mesh.rs
+++ b/crates/standin/src/users/mesh.rs
@@ -26,6 +26,8 @@
 const CALL_TIMEOUT: Millis = Millis(1000);
 /// Default time between the stop signal and the forced termination.
 const STOP_GRACE: Millis = Millis(6000);
+/// Port on which the proxies listen for each other.
+pub const RELAY_PORT: u16 = 9002;
 /// Default bandwidth of the link of an instance in megabits per second.
 const LINK_MBIT: f64 = 1000.0;
 /// Interval at which an awaited condition is checked.
@@ -45,6 +47,9 @@
     pub grace: Millis,
     /// Bandwidth of the link of each instance in megabits per second.
     pub link: f64,
+    /// Port at which the proxies reach each other, if it is not that on which they listen
+    /// ([`RELAY_PORT`]).
+    pub relay_public: Option<u16>,
 }
 
 impl Default for MeshSettings {
@@ -55,6 +60,7 @@
             network: 1,
             grace: STOP_GRACE,
             link: LINK_MBIT,
+            relay_public: None,
         }
     }
 }
@@ -189,6 +195,8 @@
         let mut settings = proxy_settings(&name, service, ip, self.store.address());
         settings.limits.link = self.settings.link;
         settings.bounds.grace = self.settings.grace;
+        let relay_public = self.settings.relay_public;
+        settings.listen.relay_public = relay_public.map(|port| SocketAddr::new(ip, port));
         let mut instance = Instance {
             name,
             service: service.to_owned(),
@@ -444,7 +452,7 @@
         region: "region".to_owned(),
         listen: ProxyListen {
             callers: at(9001),
-            relay: at(9002),
+            relay: at(RELAY_PORT),
             relay_public: None,
             readiness: at(9003),
             announcements: at(9004),
--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -111,6 +111,7 @@
 pub struct Connection {
     stream: TcpStream,
     address: SocketAddr,
+    is_reused: bool,
 }
 
 /// Response whose body has been read completely.
@@ -151,7 +152,11 @@
     pub async fn checkout(&self, address: SocketAddr) -> Result<Connection> {
         while let Some(stream) = self.pop_idle(address) {
             if is_reusable(&stream).await {
-                return Ok(Connection { stream, address });
+                return Ok(Connection {
+                    stream,
+                    address,
+                    is_reused: true,
+                });
             }
         }
         self.connect(address).await
@@ -174,7 +179,11 @@
             })?
             .map_err(|e| failed(e.to_string()))?;
         stream.set_nodelay(true).ok();
-        Ok(Connection { stream, address })
+        Ok(Connection {
+            stream,
+            address,
+            is_reused: false,
+        })
     }
 
     /// Returns a connection to the pool. Its last response must have been read completely.
@@ -291,6 +300,11 @@
         Ok(response)
     }
 
+    /// Returns whether the connection has carried an earlier request.
+    pub fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
     /// Returns the address of the peer.
     pub fn address(&self) -> SocketAddr {
         self.address
