--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -229,7 +229,9 @@
         }
         let is_named = metadata.request_id.is_some();
         let carried = connection.history().len();
-        if !is_named && !(metadata.is_not_run && carried == 1) {
+        let is_only_request = carried == 1;
+        let is_matched = is_named || (metadata.is_not_run && is_only_request);
+        if !is_matched {
             let (request, status) = (&attempt.request, head.status);
             warn!(event = "answer.unnamed", request, status, carried);
             discarded.with_label_values(&["unnamed"]).inc();
