--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -17,6 +17,8 @@
 const BURST_PROBABILITY: f64 = 0.3;
 /// Shortest duration of a fault.
 const MIN_DURATION: Millis = Millis(300);
+/// Exclusive upper bound of the bytes of an answer before it is cut; about the length of its head.
+const MAX_CUT: u64 = 130;
 /// Longest time added to [`MIN_DURATION`].
 const EXTRA_DURATION: Millis = Millis(2200);
 
@@ -31,6 +33,33 @@
     Store,
 }
 
+/// Spec of an object of another writer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OddSpec {
+    /// Lists nested this deeply.
+    Nested(usize),
+    /// A number out of range.
+    Number,
+    /// An entry of a proxy whose port is out of range.
+    Port,
+    /// Text that is no JSON.
+    Text,
+}
+
+impl OddSpec {
+    /// Returns the spec as it stands in answers of the store.
+    pub fn text(self) -> String {
+        match self {
+            OddSpec::Nested(depth) => "[".repeat(depth) + &"]".repeat(depth),
+            OddSpec::Number => "1e400".to_owned(),
+            OddSpec::Port => {
+                r#"{"instance":"i-9","zone":"z","relay":"127.0.0.1:70000","life":"5"}"#.to_owned()
+            }
+            OddSpec::Text => "Infinity".to_owned(),
+        }
+    }
+}
+
 /// A fault or a piece of planned work. Instances are given by index, durations by [`Millis`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -50,6 +79,9 @@
     Store(StoreFault, Millis),
     /// Compacts the store, which drops its history of changes.
     Compact,
+    /// Writes an object that no proxy can use among those of each kind that proxies read, then
+    /// compacts the store.
+    OddObject(OddSpec),
     /// Makes a backend server misbehave.
     Server(usize, ServerBehaviour, Millis),
     /// Crashes a backend server, which is replaced by a new process afterwards.
@@ -78,6 +110,7 @@
             Fault::Link(_, _, mode, _) => mode.name(),
             Fault::Store(..) => "store",
             Fault::Compact => "compact",
+            Fault::OddObject(_) => "odd-object",
             Fault::Server(..) => "server",
             Fault::Crash(..) => "crash",
             Fault::Drain(_) => "drain",
@@ -121,6 +154,7 @@
     pub fn generate(seed: u64, topology: Topology) -> Schedule {
         let mut generator = Generator {
             random: SeededRandom::new(seed),
+            variants: SeededRandom::new(!seed),
             topology,
         };
         let planned_only = seed % 4 == 3;
@@ -172,6 +206,8 @@
 
 struct Generator {
     random: SeededRandom,
+    /// Draws variants of a fault, so that a new variant leaves the rest of a schedule unchanged.
+    variants: SeededRandom,
     topology: Topology,
 }
 
@@ -200,7 +236,7 @@
             1 => Fault::Pause(self.instance(), self.duration()),
             2..=4 => self.link_fault(),
             5 => Fault::Store(self.store_fault(), self.duration()),
-            6 => Fault::Compact,
+            6 => self.compaction(),
             7 | 8 => {
                 let server_behaviour = self.server_behaviour();
                 Fault::Server(self.instance(), server_behaviour, self.duration())
@@ -244,14 +280,39 @@
         }
     }
 
+    fn compaction(&mut self) -> Fault {
+        match self.variants.below(8) {
+            0 => Fault::OddObject(OddSpec::Nested(50_000)),
+            1 => Fault::OddObject(OddSpec::Number),
+            2 => Fault::OddObject(OddSpec::Port),
+            3 => Fault::OddObject(OddSpec::Text),
+            _ => Fault::Compact,
+        }
+    }
+
+    fn cut_answer(&mut self) -> ServerBehaviour {
+        match self.variants.below(2) {
+            0 => ServerBehaviour::Truncates,
+            _ => ServerBehaviour::CutsAfter(self.variants.below(MAX_CUT) as usize),
+        }
+    }
+
+    fn rejection(&mut self) -> ServerBehaviour {
+        match self.variants.below(3) {
+            0 => ServerBehaviour::Sheds,
+            1 => ServerBehaviour::RepeatsRejections { is_named: true },
+            _ => ServerBehaviour::RepeatsRejections { is_named: false },
+        }
+    }
+
     fn server_behaviour(&mut self) -> ServerBehaviour {
         match self.random.below(8) {
             0 => ServerBehaviour::AnswersTwice,
             1 => ServerBehaviour::Unframed,
-            2 => ServerBehaviour::Truncates,
+            2 => self.cut_answer(),
             3 => ServerBehaviour::Unsigned,
             4 => ServerBehaviour::Garbles,
-            5 => ServerBehaviour::Sheds,
+            5 => self.rejection(),
             6 => ServerBehaviour::LosesAnswers,
             _ => ServerBehaviour::Fails,
         }
--- a/crates/soak/src/testbed.rs
+++ b/crates/soak/src/testbed.rs
@@ -386,6 +386,12 @@
                 self.store.set_fault(StoreFault::None);
             }
             Fault::Compact => self.store.compact(),
+            Fault::OddObject(spec) => {
+                for kind in ["config", "rollouts", ENTRY_KIND] {
+                    self.store.write_raw(kind, "0-odd", &spec.text());
+                }
+                self.store.compact();
+            }
             Fault::Server(number, behaviour, time) => {
                 self.instances[*number].set_behaviour(behaviour);
                 task::sleep(time.duration()).await;
