Rank implausible start times and incarnations instead of refusing them

An implausible start time now ranks lowest, and a withdrawal of the known process is always obeyed. Only an incarnation that no clock can have produced is ignored.

--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -23,9 +23,9 @@
 
 /// Maximum number of events that wait for the control thread.
 const EVENT_QUEUE: usize = 4096;
-/// Longest time by which the wall clock may have been set back since a process recorded its
-/// incarnation.
-const MAX_CLOCK_STEP: Millis = Millis::from_secs(24 * 3600);
+/// Latest incarnation that a process can have recorded, whatever its clock. A later one could not
+/// be exceeded forever.
+const MAX_INCARNATION: Incarnation = Incarnation(1 << 53);
 /// Timeout for reading this proxy's earlier incarnation from the store at start.
 const INCARNATION_TIMEOUT: Millis = Millis(800);
 /// Minimum time from the stop signal to the exit: the platform removes an instance after two failed
@@ -211,16 +211,18 @@
 }
 
 /// Chooses an incarnation that is later than the recorded one, even if the wall clock was set back
-/// since. A record that no clock step explains is ignored.
+/// since.
 fn choose_incarnation(entries: &[ProxyEntry], me: InstanceId, clock: &Clock) -> Incarnation {
-    let now = clock.now();
+    let now = Incarnation(clock.now().0);
     let recorded = entries.iter().find(|e| e.instance == me);
-    let recorded = recorded.map_or(0, |e| e.incarnation.0);
-    if recorded > (now + MAX_CLOCK_STEP).0 {
-        warn!(event = "life.implausible", recorded, now = now.0);
-        return Incarnation(now.0);
+    match recorded.map(|e| e.incarnation) {
+        None => now,
+        Some(recorded) if recorded > MAX_INCARNATION => {
+            warn!(event = "life.implausible", recorded = recorded.0);
+            now
+        }
+        Some(recorded) => now.max(Incarnation(recorded.0 + 1)),
     }
-    Incarnation(now.0.max(recorded + 1))
 }
 
 fn create_control(
--- a/crates/traffic/src/local_server.rs
+++ b/crates/traffic/src/local_server.rs
@@ -68,8 +68,6 @@
     Stale,
     /// Its process has withdrawn.
     Departed,
-    /// It names a start time that lies in the future.
-    Implausible,
 }
 
 /// Time after a withdrawal within which heartbeats that were sent before it may still arrive. The
@@ -77,7 +75,7 @@
 const LATE_HEARTBEAT: Millis = Millis::from_secs(60);
 
 /// Longest time by which the clock may have been set back since a backend server started. A start
-/// time further in the future would outrank every announcement to come.
+/// time further in the future is implausible.
 const MAX_CLOCK_STEP: Millis = Millis::from_secs(24 * 3600);
 
 /// Minimum time by which the announced end of the cold start must be later than the known one to
@@ -133,15 +131,13 @@
         if announcement.address != self.address || announcement.service != self.service {
             return Change::Ignored(Ignored::Foreign);
         }
-        if is_future(now, announcement.started_ms) {
-            return Change::Ignored(Ignored::Implausible);
-        }
         if self.is_withdrawn(now, announcement) {
             return Change::Ignored(Ignored::Departed);
         }
+        let started = rank(now, announcement.started_ms);
         if let Some((started_ms, seq, id)) = &self.newest {
-            let is_same = *id == announcement.id && *started_ms == announcement.started_ms;
-            if announcement.started_ms < *started_ms || (is_same && announcement.seq <= *seq) {
+            let is_same = *id == announcement.id && *started_ms == started;
+            if started < *started_ms || (is_same && announcement.seq <= *seq) {
                 return Change::Ignored(Ignored::Stale);
             }
             if is_same && self.has_departed {
@@ -151,11 +147,7 @@
                 self.has_departed = false;
             }
         }
-        self.newest = Some((
-            announcement.started_ms,
-            announcement.seq,
-            announcement.id.clone(),
-        ));
+        self.newest = Some((started, announcement.seq, announcement.id.clone()));
         match announcement.is_ready {
             true => self.open(now, announcement),
             false => self.close(),
@@ -190,9 +182,7 @@
     /// Applies the withdrawal of the process `id`; `started_ms` is the start time of the process if
     /// the withdrawal names it.
     pub fn withdraw(&mut self, now: Millis, id: &str, started_ms: Option<u64>) -> Change {
-        if started_ms.is_some_and(|started| is_future(now, started)) {
-            return Change::Ignored(Ignored::Implausible);
-        }
+        let started_ms = started_ms.filter(|started| rank(now, *started) == *started);
         match &self.newest {
             Some((newest, _, known)) if known == id => {
                 if started_ms.is_some_and(|started| started < *newest) {
@@ -244,6 +234,11 @@
     }
 }
 
-fn is_future(now: Millis, started_ms: u64) -> bool {
-    started_ms > (now + MAX_CLOCK_STEP).0
+/// Returns the start time by which announcements are ordered. An implausible one counts as the
+/// earliest, so that it doesn't outrank the announcements to come.
+fn rank(now: Millis, started_ms: u64) -> u64 {
+    match started_ms > (now + MAX_CLOCK_STEP).0 {
+        true => 0,
+        false => started_ms,
+    }
 }
