--- a/crates/rosemaryfork/tests/calls.rs
+++ b/crates/rosemaryfork/tests/calls.rs
@@ -15,8 +15,8 @@
 use std::net::SocketAddr;
 
 /// Starts a cluster of two daemons: one without a backend server, and one whose relay port is
-/// reached through a fault-injecting proxy.
-async fn start_behind_faulty_link() -> (Cluster, Proxy) {
+/// reached through what `start_link` starts between the two addresses that it gets.
+async fn start_behind(start_link: impl AsyncFnOnce(SocketAddr, SocketAddr)) -> Cluster {
     let mut cluster = Cluster::start(rf_standin::quickstart::quick_settings())
         .await
         .expect("cluster");
@@ -33,36 +33,26 @@
             ..spec(1, "v1")
         })
         .expect("back");
-    let proxy = Proxy::default();
-    let listener = TcpListener::bind(outside).await.expect("proxy address");
-    task::spawn(proxy.clone().forward(listener, inside));
+    start_link(outside, inside).await;
     common::apply_and_wait(&cluster, &one_service(&[("v1", 100)])).await;
-    (cluster, proxy)
+    cluster
+}
+
+async fn start_behind_faulty_link() -> (Cluster, Proxy) {
+    let proxy = Proxy::default();
+    let cluster = start_behind(async |outside, inside| {
+        let listener = TcpListener::bind(outside).await.expect("proxy address");
+        task::spawn(proxy.clone().forward(listener, inside));
+    });
+    (cluster.await, proxy)
 }
 
-/// Starts a cluster of two daemons: one without a backend server, and one whose relay port is
-/// reached through a link stand-in.
 async fn start_behind_link() -> (Cluster, Link) {
-    let mut cluster = Cluster::start(rf_standin::quickstart::quick_settings())
-        .await
-        .expect("cluster");
-    let front = InstanceSpec {
-        service: String::new(),
-        ..spec(0, "v1")
-    };
-    cluster.add(front).expect("front");
-    let outside = cluster.address_of(1, 7012);
     let link = Link::default();
-    let starting = link.start(outside, cluster.address_of(1, 7002));
-    starting.await.expect("link address");
-    cluster
-        .add(InstanceSpec {
-            relay: Some(outside),
-            ..spec(1, "v1")
-        })
-        .expect("back");
-    common::apply_and_wait(&cluster, &one_service(&[("v1", 100)])).await;
-    (cluster, link)
+    let cluster = start_behind(async |outside, inside| {
+        link.start(outside, inside).await.expect("link address");
+    });
+    (cluster.await, link)
 }
 
 // Guards against the reply to an earlier message of a reused connection, between daemons.
