Soak: end a deadlock between the checker and an instance

All other threads waited for the checker. The order is old; it needs the end of a process at the moment of a check.

An instance is not locked any more when the checker is called.

--- a/crates/soak/src/testbed.rs
+++ b/crates/soak/src/testbed.rs
@@ -262,18 +262,21 @@
     pub async fn supervise(self: Arc<Testbed>, number: usize) {
         let instance = &self.instances[number];
         while !self.is_over() {
-            let has_ended = {
+            // The checker must not be called with the instance locked: it locks instances itself.
+            let exit = {
                 let mut state = instance.lock();
                 let status = state.process.as_mut().and_then(Process::exit_status);
-                if let Some(status) = status {
-                    let may_exit = std::mem::take(&mut state.may_exit);
-                    self.checker.check(Promise::Ends, may_exit, || {
-                        format!("process of {number} ended by itself: {status}")
-                    });
+                status.map(|status| {
                     state.process = None;
-                }
-                state.process.is_none()
+                    (status, std::mem::take(&mut state.may_exit))
+                })
             };
+            if let Some((status, may_exit)) = exit {
+                self.checker.check(Promise::Ends, may_exit, || {
+                    format!("process of {number} ended by itself: {status}")
+                });
+            }
+            let has_ended = instance.lock().process.is_none();
             if has_ended {
                 if instance.starts() > 0 {
                     task::sleep(RESTART_DELAY.duration()).await;
@@ -294,13 +297,17 @@
         state.may_exit = false;
         let settings = instance.folder.join("settings.json");
         let log = instance.folder.join("log.jsonl");
-        match Process::start(&self.program, &settings, &log) {
-            Ok(process) => state.process = Some(process),
-            Err(error) => {
-                self.checker
-                    .check(Promise::Ends, false, || format!("cannot start: {error}"));
+        let started = Process::start(&self.program, &settings, &log);
+        let error = match started {
+            Ok(process) => {
+                state.process = Some(process);
+                return;
             }
-        }
+            Err(error) => error,
+        };
+        drop(state);
+        let detail = || format!("cannot start: {error}");
+        self.checker.check(Promise::Ends, false, detail);
     }
 
     /// Announces a backend server to its proxy periodically until the run is over.
