Log and count invalid requests on the operators' port

An odd announcement was refused with 422, but left no trace at the daemon. The test of odd announcements now asks for the count as well, and passes.

--- a/crates/daemon/src/listeners.rs
+++ b/crates/daemon/src/listeners.rs
@@ -236,7 +236,8 @@
 async fn read_json<T: DeserializeOwned>(
     request: &mut Request<AppState>,
 ) -> std::result::Result<T, Response> {
-    let invalid = |message: String| error_response(&OperatorError::Invalid(message));
+    let shared = request.state().shared.clone();
+    let invalid = |message: String| refuse_operator(&shared, &OperatorError::Invalid(message));
     if request.len().is_none_or(|n| n > OPERATOR_BYTES) {
         return Err(invalid(format!(
             "expected a body of at most {OPERATOR_BYTES} bytes with its length"
@@ -271,10 +272,21 @@
     };
     match result {
         Ok(answer) => answer_response(&answer),
-        Err(error) => Ok(error_response(&error)),
+        Err(error) => Ok(refuse_operator(&state.shared, &error)),
     }
 }
 
+/// Returns the response for a request on the operators' port that failed; an invalid one is logged
+/// and counted.
+fn refuse_operator(shared: &Shared, error: &OperatorError) -> Response {
+    if let OperatorError::Invalid(message) = error {
+        let refusals = &shared.metrics.peer_refusals;
+        refusals.with_label_values(&["operator-invalid"]).inc();
+        tracing::warn!(message, "refused an invalid request on the operators' port");
+    }
+    error_response(error)
+}
+
 fn is_authorized(shared: &Shared, token: Option<&HeaderValue>) -> bool {
     let Some(token) = token.and_then(|t| t.as_str().strip_prefix("Bearer ")) else {
         return false;
--- a/crates/rosemaryfork/tests/http.rs
+++ b/crates/rosemaryfork/tests/http.rs
@@ -293,6 +293,9 @@
             let response = call(target, Method::Post, "/x", "after").await;
             assert_eq!(response.expect("an answer").status() as u16, 200);
         }
+        let operator = cluster.instances[0].operator();
+        let refused = operator.metric("peer_refusals_total", "operator-invalid");
+        assert_eq!(refused.await, Ok(odd.len() as f64), "each is counted");
     });
 }
 
