Count unreadable entries where they are passed on; simplify two functions

The check whether a start time is plausible has a name, where a withdrawal compared a rank with its own input, and the soak starts a process without a detour.

--- a/crates/proxy/src/control/sync.rs
+++ b/crates/proxy/src/control/sync.rs
@@ -7,7 +7,9 @@
 
 use super::event::Event;
 use crate::shared::Shared;
-use crate::source::{ProxyEntry, Result, Revision, Snapshot, Source, SourceError, Topic};
+use crate::source::{
+    ProxyEntries, ProxyEntry, Result, Revision, Snapshot, Source, SourceError, Topic,
+};
 use async_channel::Sender;
 use async_std::task;
 use rf_base::Millis;
@@ -101,7 +103,7 @@
         source: S,
         events: Sender<Event>,
         entry: ProxyEntry,
-        known: Vec<ProxyEntry>,
+        known: ProxyEntries,
     ) {
         let sync = Arc::new(StoreSync {
             shared,
@@ -127,9 +129,8 @@
             match read {
                 Ok(snapshot) => {
                     backoff.reset();
-                    self.count_unreadable(topic, &snapshot);
                     let revision = snapshot.revision;
-                    self.send_snapshot(snapshot).await;
+                    self.send_snapshot(topic, snapshot).await;
                     self.watch(topic, revision).await;
                 }
                 Err(_) => backoff.wait(&self.shared).await,
@@ -155,10 +156,9 @@
             match watched {
                 Ok(snapshot) => {
                     backoff.reset();
-                    self.count_unreadable(topic, &snapshot);
                     let is_changed = snapshot.table.is_some() || !snapshot.rollouts.is_empty();
                     revision = snapshot.revision.max(revision);
-                    self.send_snapshot(snapshot).await;
+                    self.send_snapshot(topic, snapshot).await;
                     if is_changed {
                         task::sleep(COALESCE_TIME.duration()).await;
                     }
@@ -171,18 +171,22 @@
         }
     }
 
-    async fn send_snapshot(&self, snapshot: Snapshot) {
+    async fn send_snapshot(&self, topic: Topic, snapshot: Snapshot) {
+        let metrics = &self.shared.metrics;
+        metrics.count_unreadable(name_of(topic), snapshot.unreadable);
         let event = Event::SnapshotRead(Box::new(snapshot));
         self.events.send(event).await.ok();
     }
 
-    fn observe<T>(&self, topic: Topic, call: &str, result: &Result<T>) {
-        self.count(&format!("{call}-{}", name_of(topic)), result);
+    async fn send_entries(&self, read: ProxyEntries) {
+        let metrics = &self.shared.metrics;
+        metrics.count_unreadable("proxies", read.unreadable);
+        let event = Event::EntriesRead(read.entries);
+        self.events.send(event).await.ok();
     }
 
-    fn count_unreadable(&self, topic: Topic, snapshot: &Snapshot) {
-        let metrics = &self.shared.metrics;
-        metrics.count_unreadable(name_of(topic), snapshot.unreadable);
+    fn observe<T>(&self, topic: Topic, call: &str, result: &Result<T>) {
+        self.count(&format!("{call}-{}", name_of(topic)), result);
     }
 
     fn count<T>(&self, kind: &str, result: &Result<T>) {
@@ -203,11 +207,11 @@
 
     /// Writes this proxy's entry, also after a restore of the store, and reads the entries of the
     /// others while few are known.
-    async fn maintain_entry(&self, entry: &ProxyEntry, known: Vec<ProxyEntry>) {
-        let is_recorded = known.iter().any(|e| e.instance == entry.instance);
+    async fn maintain_entry(&self, entry: &ProxyEntry, known: ProxyEntries) {
+        let is_recorded = known.entries.iter().any(|e| e.instance == entry.instance);
         // Proxies that start at the same time read before the others have written their entries.
-        let mut is_sparse = known.len() < FEW_ENTRIES;
-        self.events.send(Event::EntriesRead(known)).await.ok();
+        let mut is_sparse = known.entries.len() < FEW_ENTRIES;
+        self.send_entries(known).await;
         let mut era = self.register(entry, is_recorded).await;
         loop {
             let newest = self.shared.store_era.load(Ordering::Relaxed);
@@ -222,10 +226,7 @@
                 self.count("entries", &entries);
                 if let Ok(entries) = entries {
                     is_sparse = false;
-                    let metrics = &self.shared.metrics;
-                    metrics.count_unreadable("proxies", entries.unreadable);
-                    let read = Event::EntriesRead(entries.entries);
-                    self.events.send(read).await.ok();
+                    self.send_entries(entries).await;
                 }
             }
             task::sleep(ENTRIES_INTERVAL.duration()).await;
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -125,8 +125,7 @@
         Driver::new(shared.clone(), source.clone(), events.clone())
             .spawn(control, inbox)
             .context(ThreadSnafu)?;
-        shared.metrics.count_unreadable("proxies", known.unreadable);
-        StoreSync::start(shared.clone(), source, events.clone(), entry, known.entries);
+        StoreSync::start(shared.clone(), source, events.clone(), entry, known);
         task::spawn(ingress::serve(shared.clone(), callers));
         task::spawn(peers::serve(shared.clone(), relay));
         for listener in [readiness, announcements] {
--- a/crates/soak/src/testbed.rs
+++ b/crates/soak/src/testbed.rs
@@ -297,17 +297,14 @@
         state.may_exit = false;
         let settings = instance.folder.join("settings.json");
         let log = instance.folder.join("log.jsonl");
-        let started = Process::start(&self.program, &settings, &log);
-        let error = match started {
-            Ok(process) => {
-                state.process = Some(process);
-                return;
+        match Process::start(&self.program, &settings, &log) {
+            Ok(process) => state.process = Some(process),
+            Err(error) => {
+                drop(state);
+                let detail = || format!("cannot start: {error}");
+                self.checker.check(Promise::Ends, false, detail);
             }
-            Err(error) => error,
-        };
-        drop(state);
-        let detail = || format!("cannot start: {error}");
-        self.checker.check(Promise::Ends, false, detail);
+        }
     }
 
     /// Announces a backend server to its proxy periodically until the run is over.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,7 +3,8 @@
 //!
 //! [`platform`] replaces the object API of the platform, [`server`] replaces a backend server,
 //! [`proxy`] is a TCP proxy that injects faults between two processes, [`link`] mixes up their
-//! replies, and [`load`] generates the calls of callers. [`users`] replaces the store and the backend servers of the users' platform.
+//! replies, and [`load`] generates the calls of callers. [`users`] replaces the store and the
+//! backend servers of the users' platform.
 //! [`cluster`] starts and stops processes. [`network`] and [`simulation`] run parts of the system
 //! on a virtual clock, as does [`model`] for placement and queueing under load.
 
--- a/crates/traffic/src/local_server.rs
+++ b/crates/traffic/src/local_server.rs
@@ -182,7 +182,7 @@
     /// Applies the withdrawal of the process `id`; `started_ms` is the start time of the process if
     /// the withdrawal names it.
     pub fn withdraw(&mut self, now: Millis, id: &str, started_ms: Option<u64>) -> Change {
-        let started_ms = started_ms.filter(|started| rank(now, *started) == *started);
+        let started_ms = started_ms.filter(|started| is_plausible(now, *started));
         match &self.newest {
             Some((newest, _, known)) if known == id => {
                 if started_ms.is_some_and(|started| started < *newest) {
@@ -237,8 +237,12 @@
 /// Returns the start time by which announcements are ordered. An implausible one counts as the
 /// earliest, so that it doesn't outrank the announcements to come.
 fn rank(now: Millis, started_ms: u64) -> u64 {
-    match started_ms > (now + MAX_CLOCK_STEP).0 {
-        true => 0,
-        false => started_ms,
+    match is_plausible(now, started_ms) {
+        true => started_ms,
+        false => 0,
     }
 }
+
+fn is_plausible(now: Millis, started_ms: u64) -> bool {
+    started_ms <= (now + MAX_CLOCK_STEP).0
+}
