Bound the wait at a full server by the time at a free one

Callers: requests that arrived together after runs had become long waited for two thirds of their target in the queue of a full server, started late or got 503, while another server had free slots.

Cause: placement chooses a full server if waiting there looks faster than a free slot elsewhere, by run times that may be out of date, and the wait was bounded by the target only. The refusal then ended the first round, and the second round chose the same server again.

Now a request that knowingly waits, while another server is expected to have a free slot, waits no longer than that one would take to answer. The second round begins with servers that have not refused, if one of them is expected to be free.

--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -159,7 +159,7 @@
     let mut retry_state = RetryState::new(call.route.repeat, call.route.attempts);
     loop {
         let now = shared.now();
-        let Some(instance) = call.choose_server(shared, now, &candidates, &retry_state) else {
+        let Some(instance) = call.choose_server(shared, now, &candidates, &mut retry_state) else {
             if !candidates.is_empty() && retry_state.begin_round() {
                 continue;
             }
@@ -273,7 +273,7 @@
         shared: &Shared<D>,
         now: Millis,
         candidates: &[Candidate],
-        retry_state: &RetryState,
+        retry_state: &mut RetryState,
     ) -> Option<InstanceId> {
         if !self.is_nested() && retry_state.is_round_over(now.since(self.start), self.route.target)
         {
@@ -281,11 +281,19 @@
         }
         let placement_request = self.placement_request(shared, now);
         let mut placement = shared.placement();
-        let tried = retry_state.tried();
-        match retry_state.was_shed() {
+        // In a later round, the servers that have refused go after those that may have a free slot.
+        let ever_tried = retry_state.ever_tried();
+        let tried = match placement.has_free_slot(now, candidates, &ever_tried) {
+            true => &ever_tried,
+            false => retry_state.tried(),
+        };
+        let chosen = match retry_state.was_shed() {
             true => placement.choose_after_shed(now, candidates, tried, &placement_request),
             false => placement.choose(now, candidates, tried, &placement_request),
-        }
+        }?;
+        let limit = placement.max_wait(now, candidates, tried, chosen, &placement_request);
+        retry_state.limit_wait(limit);
+        Some(chosen)
     }
 
     /// Records the end of an attempt in the statistics of a running trial, unless it says nothing
--- a/crates/proxy/tests/pipelining.rs
+++ b/crates/proxy/tests/pipelining.rs
@@ -238,6 +238,35 @@
     assert!(first < interim, "{text}");
 }
 
+// Guards against a request that waits at a full server, whose runs take longer than before, until it
+// is refused as busy, while another server has free slots.
+#[async_std::test]
+async fn a_request_leaves_a_full_server_whose_runs_became_long() {
+    let mesh = start(199, 2, Millis(5)).await;
+    mesh.instances[1].server.set_run_time(Millis(100));
+    for number in 0..40 {
+        let ask = CallerRequest::read(&format!("early-{number}"));
+        assert_eq!(
+            mesh.send(0, &ask).await.expect("an answer").head.status,
+            200
+        );
+    }
+    for instance in &mesh.instances[..2] {
+        instance.server.set_run_time(Millis(700));
+    }
+    let mut connection = send_all(&mesh, &reads(MAX_HELD)).await;
+    for number in 0..MAX_HELD {
+        expect_served(&mut connection, &format!("r-{number}")).await;
+    }
+    let times = || (0..MAX_HELD).map(|number| arrival(&mesh, &format!("r-{number}")).at);
+    let apart = times().max().zip(times().min());
+    let apart = apart.map(|(last, first)| last - first).expect("some");
+    assert!(
+        apart < Millis(500).duration(),
+        "the last began {apart:?} later"
+    );
+}
+
 #[async_std::test]
 async fn all_requests_are_cancelled_when_the_caller_leaves() {
     let mesh = start(129, 2, Millis(2500)).await;
--- a/crates/traffic/src/offers.rs
+++ b/crates/traffic/src/offers.rs
@@ -64,10 +64,12 @@
     crashes: u32,
     verdict: Verdict,
     tried: BTreeSet<InstanceId>,
+    tried_before: BTreeSet<InstanceId>,
     failure: Option<ServerAnswer>,
     round: usize,
     refusals: u32,
     slot_wait: Option<Millis>,
+    wait_limit: Option<Millis>,
     was_shed: bool,
 }
 
@@ -81,10 +83,12 @@
             crashes: 0,
             verdict: Verdict::NotRun,
             tried: BTreeSet::new(),
+            tried_before: BTreeSet::new(),
             failure: None,
             round: 0,
             refusals: 0,
             slot_wait: None,
+            wait_limit: None,
             was_shed: false,
         }
     }
@@ -94,18 +98,30 @@
         &self.tried
     }
 
+    /// Returns the instances that were tried in this round or an earlier one.
+    pub fn ever_tried(&self) -> BTreeSet<InstanceId> {
+        self.tried_before.union(&self.tried).copied().collect()
+    }
+
     /// Returns whether the request is in its last round, in which it waits longer, for slots that
     /// no other request takes.
     pub fn is_last_round(&self) -> bool {
         self.round + 1 == ROUND_REFUSALS.len()
     }
 
+    /// Limits the time that the next offer may wait for a slot, because another server is expected
+    /// to have a free one; `None` removes the limit.
+    pub fn limit_wait(&mut self, limit: Option<Millis>) {
+        self.wait_limit = limit;
+    }
+
     /// Returns the maximum time that the next offer may wait for a slot.
     pub fn max_wait(&self, times: OfferTimes, fractions: WaitFractions) -> Millis {
-        match self.is_last_round() {
+        let wait = match self.is_last_round() {
             false => fraction_of(times.target.since(times.run_time), fractions.first_round),
             true => fraction_of(times.left.since(times.run_time), fractions.last_round),
-        }
+        };
+        self.wait_limit.map_or(wait, |limit| wait.min(limit))
     }
 
     /// Returns whether this round ends, `age` after the request arrived, because too many servers
@@ -129,7 +145,7 @@
         }
         self.round += 1;
         self.refusals = 0;
-        self.tried.clear();
+        self.tried_before.append(&mut self.tried);
         true
     }
 
--- a/crates/traffic/src/placement.rs
+++ b/crates/traffic/src/placement.rs
@@ -22,6 +22,8 @@
 //!   that the load is not concentrated on a few servers.
 //! - A server behind a slow link or on an overloaded instance: the time that offers spend outside
 //!   its gate is added to its score.
+//! - A server whose runs take longer than it reported: a request that knowingly waits there for a
+//!   slot moves on to a server with a free one ([`Placement::max_wait`]).
 //! - A server that names a limit on its requests per second: its gate reports the wait for the limit,
 //!   which the score includes, so that requests go to servers with room.
 //! - A server that states that work takes longer than usual: its run times are multiplied by the
@@ -248,6 +250,55 @@
         Some(self.count_sent(instance))
     }
 
+    /// Returns how long a request may wait for a slot at `chosen`, where it is counted as in flight.
+    ///
+    /// A full server is chosen if waiting there is expected to be faster than a free slot elsewhere.
+    /// That expectation may be wrong, so the wait ends once the other server could have answered.
+    /// Returns `None` if a slot is expected to be free at `chosen`, or at no other untried server.
+    pub fn max_wait(
+        &self,
+        now: Millis,
+        candidates: &[Candidate],
+        tried: &BTreeSet<InstanceId>,
+        chosen: InstanceId,
+        request: &PlacementRequest,
+    ) -> Option<Millis> {
+        let full = candidates.iter().find(|c| c.instance == chosen)?;
+        if self.occupancy(now, chosen) <= f64::from(full.slots) {
+            return None;
+        }
+        let mean_time = self.mean_run_time(candidates);
+        let others = self.find_usable(now, candidates, tried).into_iter();
+        let free = others.filter(|c| c.instance != chosen && self.is_free(now, c, mean_time));
+        let times = free.map(|c| {
+            let zone_cost = match c.is_near {
+                true => Millis::ZERO,
+                false => request.zone_cost,
+            };
+            self.score(now, c, mean_time, request.route) + zone_cost.0 as f64
+        });
+        times.min_by(f64::total_cmp).map(|time| Millis(time as u64))
+    }
+
+    /// Returns whether a candidate that is not in `tried` is expected to have a free slot.
+    pub fn has_free_slot(
+        &self,
+        now: Millis,
+        candidates: &[Candidate],
+        tried: &BTreeSet<InstanceId>,
+    ) -> bool {
+        let mean_time = self.mean_run_time(candidates);
+        let untried = candidates.iter().filter(|c| !tried.contains(&c.instance));
+        let mut usable = untried.filter(|c| !self.is_ejected(now, c.instance));
+        usable.any(|c| self.is_free(now, c, mean_time))
+    }
+
+    /// Returns whether a candidate is expected to have a free slot.
+    fn is_free(&self, now: Millis, candidate: &Candidate, mean_time: f64) -> bool {
+        let run_time = self.current_run_time(now, candidate, mean_time);
+        self.expected_wait(now, candidate, run_time) == 0.0
+    }
+
     /// Returns the untried candidates that are not ejected, or all untried ones if all are.
     fn find_usable<'a>(
         &self,
--- a/crates/traffic/tests/placement.rs
+++ b/crates/traffic/tests/placement.rs
@@ -349,3 +349,29 @@
     assert_eq!(choose_at(&mut placement, 1, &candidates), InstanceId(2));
     assert_eq!(choose_at(&mut placement, 3000, &candidates), InstanceId(1));
 }
+
+// Guards against a long wait at a full server, whose runs take longer than it reported, while another
+// one has a free slot.
+#[test]
+fn the_wait_at_a_full_server_is_limited_by_the_time_at_a_free_one() {
+    let mut placement = new_placement();
+    record_offer(&mut placement, 1, OfferEnd::Succeeded, report(0, 10));
+    record_offer(&mut placement, 2, OfferEnd::Succeeded, report(0, 50));
+    let candidates = [candidate(1, true), candidate(2, true)];
+    let none = BTreeSet::new();
+    let max_wait = |placement: &Placement, tried: &BTreeSet<InstanceId>| {
+        placement.max_wait(Millis(1), &candidates, tried, InstanceId(1), &request(20))
+    };
+    for _ in 0..4 {
+        assert_eq!(choose_at(&mut placement, 1, &candidates), InstanceId(1));
+        assert_eq!(max_wait(&placement, &none), None, "it has a slot");
+    }
+    assert_eq!(choose_at(&mut placement, 1, &candidates), InstanceId(1));
+    assert_eq!(max_wait(&placement, &none), Some(Millis(50)));
+    let tried = BTreeSet::from([InstanceId(2)]);
+    assert_eq!(max_wait(&placement, &tried), None, "no other is left");
+    for _ in 0..4 {
+        choose_at(&mut placement, 1, &candidates[1..]);
+    }
+    assert_eq!(max_wait(&placement, &none), None, "both are full");
+}
