Let the other proxies remember that a backend server's process has left

Cause: only the proxy beside the server knew which process had left, and a process keeps nothing over a restart.

A proxy's description now names the last process that left; the others keep it when the proxy describes itself anew, and tell it in exchanges and attempts until it names the process itself. It then ignores heartbeats of that process.

The new tests use fields that did not exist before, so they were not run on earlier code.

--- a/crates/daemon/src/control/machine.rs
+++ b/crates/daemon/src/control/machine.rs
@@ -102,6 +102,7 @@
             peers: settings.advertise.peers.unwrap_or(settings.listen.peers),
             relay: settings.advertise.relay.unwrap_or(settings.listen.relay),
             server: None,
+            departed: None,
             leaving: false,
         };
         let membership_settings = MembershipSettings {
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -38,6 +38,9 @@
 #[derive(Clone, Debug)]
 struct Entry {
     member: Member,
+    /// Last process of its backend server that is known to have left, also from earlier
+    /// incarnations of the daemon, which forgets it when it restarts.
+    departed: Option<u64>,
     /// Time at which the alert of each observer was received.
     alerts: BTreeMap<InstanceId, Millis>,
     unreachable_since: Option<Millis>,
@@ -80,6 +83,11 @@
         self.entries.get(&id).map(|e| &e.member)
     }
 
+    /// Returns the last process of the backend server beside a daemon that is known to have left.
+    pub fn departed(&self, id: InstanceId) -> Option<u64> {
+        self.entries.get(&id).and_then(|e| e.departed)
+    }
+
     /// Returns all descriptions, unreachable daemons included.
     pub fn members(&self) -> impl Iterator<Item = &Member> {
         self.entries.values().map(|e| &e.member)
@@ -147,10 +155,12 @@
         {
             return false;
         }
+        let departed = member.departed.or(self.departed(member.id));
         self.remove_entry(member.id);
         self.toggle_hash(member.id, hash_member(member));
         let entry = Entry {
             member: member.clone(),
+            departed,
             alerts: BTreeMap::new(),
             unreachable_since: None,
         };
--- a/crates/protocol/src/member.rs
+++ b/crates/protocol/src/member.rs
@@ -30,6 +30,10 @@
     pub server: Option<ServerInfo>,
     /// Whether the daemon is shutting down and accepts no new work.
     pub leaving: bool,
+    /// Fingerprint of the last process of the backend server that withdrew, drained or left, if the
+    /// daemon knows one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub departed: Option<u64>,
 }
 
 impl Member {
--- a/crates/proxy/src/control/driver.rs
+++ b/crates/proxy/src/control/driver.rs
@@ -3,9 +3,9 @@
 use super::event::{Action, Event, MessageKind};
 use super::machine::Control;
 use crate::dialect::Dialect;
-use crate::relay;
 use crate::shared::Shared;
 use crate::source::{Source, SourceError};
+use crate::{local, relay};
 use async_channel::{Receiver, Sender};
 use async_std::future::timeout;
 use async_std::task;
@@ -123,6 +123,7 @@
             Action::PublishStrikes(strikes) => self.shared.strikes.store(Arc::new(*strikes)),
             Action::StoreRestored(era) => self.shared.store_era.store(era, Ordering::Relaxed),
             Action::RecordState(rollout, state) => self.record(*rollout, state),
+            Action::ServerDeparted(process) => local::adopt_departure(&self.shared, process),
             Action::Readmit(instance) => self.shared.placement().readmit(instance),
         }
     }
--- a/crates/proxy/src/control/event.rs
+++ b/crates/proxy/src/control/event.rs
@@ -28,8 +28,9 @@
     StoreAnswered(u64),
     /// A message was answered, or failed (`None`).
     Replied(ExchangeTarget, MessageKind, Option<RelayReply>),
-    /// The local backend server became available, changed, or left (`None`).
-    ServerChanged(Option<LocalServer>),
+    /// The local backend server became available, changed, or left (`None`); carries the last
+    /// process that left as well.
+    ServerChanged(Option<LocalServer>, Option<u64>),
     /// The local backend server crashed while it ran a request.
     ServerCrashed(Strike),
     /// A request that was suspected of crashing backend servers succeeded; carries its fingerprint.
@@ -74,6 +75,8 @@
     Follow(Topic, bool),
     /// The store was restored from a backup; carries its new era.
     StoreRestored(u64),
+    /// Another proxy knows that this process has left the local backend server.
+    ServerDeparted(u64),
     /// A newer route table became active.
     TableAdopted(std::sync::Arc<RouteTable>),
 }
--- a/crates/proxy/src/control/machine.rs
+++ b/crates/proxy/src/control/machine.rs
@@ -107,6 +107,7 @@
             peers: settings.relay,
             relay: settings.relay,
             server: None,
+            departed: None,
             leaving: false,
         };
         let membership_settings = MembershipSettings {
@@ -168,8 +169,8 @@
             Event::Replied(target, kind, reply) => {
                 self.handle_reply(now, target, kind, reply, &mut actions);
             }
-            Event::ServerChanged(server) => {
-                self.describe_server(now, server.as_ref(), &mut actions);
+            Event::ServerChanged(server, departed) => {
+                self.describe_server(now, server.as_ref(), departed, &mut actions);
             }
             Event::ServerCrashed(strike) => self.merge_strike(now, &strike, &mut actions),
             Event::StrikesCleared(fingerprint) => {
@@ -286,7 +287,7 @@
         exchange: Exchange,
         actions: &mut Vec<Action>,
     ) {
-        let gossip = Box::new(self.gossip(now));
+        let gossip = Box::new(self.gossip(now, target.id));
         let request = RelayRequest::Exchange(Box::new(exchange), gossip);
         actions.push(Action::Send(
             target,
@@ -295,7 +296,8 @@
         ));
     }
 
-    fn gossip(&self, now: Millis) -> GossipUpdate {
+    /// Returns the gossip for the proxy `receiver`.
+    fn gossip(&self, now: Millis, receiver: Option<InstanceId>) -> GossipUpdate {
         let requests = self.gossiped_strikes.keys();
         let records = requests.flat_map(|f| self.strikes.records(*f));
         let (cleared, strikes): (Vec<_>, Vec<_>) = records.partition(|(_, is_cleared)| *is_cleared);
@@ -308,9 +310,19 @@
             cleared: strip(cleared),
             store_age: now.since(self.store_answered),
             store_era: self.store_era,
+            departed: receiver.and_then(|id| self.forgotten_departure(id)),
         }
     }
 
+    /// Returns the process that left the server beside `id`, if the proxy there does not say so
+    /// itself.
+    fn forgotten_departure(&self, id: InstanceId) -> Option<u64> {
+        let roster = self.membership.roster();
+        let departed = roster.departed(id)?;
+        let is_known = roster.get(id).is_some_and(|m| m.departed.is_some());
+        (!is_known).then_some(departed)
+    }
+
     /// Records that the store is in `era`. A new era means that the store was restored from a
     /// backup; each proxy then writes its own lost objects again.
     fn update_era(&mut self, now: Millis, era: Option<u64>, actions: &mut Vec<Action>) {
@@ -337,7 +349,7 @@
         let reply = self.membership.handle_exchange(now, exchange);
         let target = self.membership.target(exchange.from);
         self.merge_gossip(now, target, gossip, actions);
-        let answer = (reply, self.gossip(now));
+        let answer = (reply, self.gossip(now, Some(exchange.from)));
         actions.push(Action::Answer(sender, Box::new(answer)));
     }
 
@@ -385,6 +397,9 @@
         let last_answer = Millis(now.0.saturating_sub(gossip.store_age.0));
         self.store_answered = self.store_answered.max(last_answer);
         self.update_era(now, gossip.store_era, actions);
+        if let Some(process) = gossip.departed {
+            actions.push(Action::ServerDeparted(process));
+        }
         if changed {
             self.membership.schedule_exchanges(now);
         }
@@ -553,6 +568,7 @@
         &mut self,
         now: Millis,
         local: Option<&LocalServer>,
+        departed: Option<u64>,
         actions: &mut Vec<Action>,
     ) {
         let server = local.map(|s| ServerInfo {
@@ -562,8 +578,11 @@
             since: now,
             drained: false,
         });
-        let leaves = server.is_none();
-        self.membership.update_local(now, |me| me.server = server);
+        let leaves = server.is_none() && self.membership.me().server.is_some();
+        self.membership.update_local(now, |me| {
+            me.server = server;
+            me.departed = departed;
+        });
         if leaves {
             self.broadcast_me(actions);
         }
--- a/crates/proxy/src/control/select.rs
+++ b/crates/proxy/src/control/select.rs
@@ -8,10 +8,18 @@
 use std::collections::BTreeMap;
 
 /// Creates the routing target of a member's backend server.
-pub fn to_target(member: &Member, server: &ServerInfo, is_near: bool) -> ServerTarget {
+///
+/// `departed` is the process that left that server, if the member does not seem to know it.
+pub fn to_target(
+    member: &Member,
+    server: &ServerInfo,
+    is_near: bool,
+    departed: Option<u64>,
+) -> ServerTarget {
     ServerTarget {
         instance: member.id,
         incarnation: member.incarnation,
+        departed,
         relay: member.relay,
         version: server.version.clone(),
         candidate: Candidate {
--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -19,7 +19,7 @@
 use rf_config::{Caller, PathRoute};
 use rf_protocol::relay::{
     AttemptClass, AttemptEnd, AttemptKey, AttemptRequest, AttemptTerms, Loss, Payload, Rejection,
-    ServerAnswer,
+    ServerAnswer, ServerCondition,
 };
 use rf_rollout::trial::share_at;
 use rf_traffic::placement::OfferReport;
@@ -433,7 +433,7 @@
                 max_wait,
                 answer_bytes: shared.usual_answer_bytes(&self.route.name) as u64,
                 body_bytes: 0,
-                condition: shared.told_conditions().get(target.instance),
+                condition: told_condition(shared, target),
                 class: self.class(copy),
             },
             service: self.service.clone(),
@@ -534,6 +534,17 @@
     }
 }
 
+/// Returns what an attempt repeats about the backend server of `target`, because the proxy there may
+/// have restarted.
+fn told_condition<D>(shared: &Shared<D>, target: &Target) -> Option<ServerCondition> {
+    let departed = target.departed.map(|process| ServerCondition {
+        process,
+        limit: None,
+        is_leaving: true,
+    });
+    departed.or_else(|| shared.told_conditions().get(target.instance))
+}
+
 /// Maps an attempt's end to what it says about the server, for placement.
 fn to_offer_end(end: &AttemptEnd) -> OfferEnd {
     match end {
--- a/crates/proxy/src/local.rs
+++ b/crates/proxy/src/local.rs
@@ -18,21 +18,28 @@
         Change::Same => "same",
         Change::Opened => "opened",
         Change::Closed => "closed",
+        Change::Departed => "departed",
         Change::Ignored(_) => "ignored",
     };
     let announcements = &shared.metrics.announcements;
     announcements.with_label_values(&[name]).inc();
     match (change, state.server()) {
-        (Change::Opened, Some(server)) => {
-            shared.gate.open(server);
-            shared.send_event(Event::ServerChanged(Some(server.clone())));
-        }
-        (Change::Closed, _) => {
-            shared.gate.close();
-            shared.send_event(Event::ServerChanged(None));
-        }
-        _ => {}
+        (Change::Opened, Some(server)) => shared.gate.open(server),
+        (Change::Closed, _) => shared.gate.close(),
+        (Change::Departed, _) => {}
+        _ => return,
     }
+    let server = state.server().cloned();
+    shared.send_event(Event::ServerChanged(server, state.departed()));
+}
+
+/// Applies that other proxies know that `process` has left, which this proxy may have forgotten in a
+/// restart.
+pub fn adopt_departure<D>(shared: &Shared<D>, process: u64) {
+    let mut state = shared.local_server();
+    let change = state.leave(process);
+    info!(event = "server.departed", process, from = "proxy", ?change);
+    apply(shared, &state, change);
 }
 
 /// Applies what the backend server says about itself in the answer to `attempt`.
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -15,6 +15,8 @@
     pub instance: InstanceId,
     /// Incarnation of the proxy on that instance.
     pub incarnation: Incarnation,
+    /// Process that left the server there, if that proxy does not seem to know it.
+    pub departed: Option<u64>,
     /// Address at which that proxy accepts attempts.
     pub relay: SocketAddr,
     /// Version of the backend server.
--- a/crates/proxy/tests/control.rs
+++ b/crates/proxy/tests/control.rs
@@ -169,6 +169,7 @@
         peers: address,
         relay: address,
         server: None,
+        departed: None,
         leaving: false,
     }
 }
@@ -428,3 +429,66 @@
     assert!(restored_eras(control.handle(at(2), Event::StoreAnswered(1))).is_empty());
     assert!(restored_eras(control.handle(at(3), Event::StoreAnswered(2))).is_empty());
 }
+
+/// Returns the process that the proxy tells `receiver` to have left the server beside it.
+fn departure_told(control: &mut Control, now: Millis, receiver: &Member) -> Option<u64> {
+    let (sender, receiver_end) = async_channel::bounded(1);
+    let exchange = Exchange {
+        from: receiver.id,
+        members: vec![receiver.clone()],
+        ..Exchange::default()
+    };
+    let event = Event::Exchange(Box::new(exchange), Box::default(), sender);
+    let told = |action| match action {
+        Action::Answer(_, answer) => Some(answer.1.departed),
+        _ => None,
+    };
+    let actions = control.handle(now, event);
+    drop(receiver_end);
+    actions.into_iter().find_map(told).expect("an answer")
+}
+
+// Guards against a withdrawal that only the proxy beside the server knows: when that proxy restarts,
+// a late heartbeat would bring requests to a server that has left.
+#[test]
+fn a_restarted_proxy_is_told_that_its_server_left() {
+    const LEFT: u64 = 77;
+    let mut control = control();
+    let departed = Member {
+        departed: Some(LEFT),
+        ..member(2)
+    };
+    control.handle(at(0), Event::MemberDescribed(Box::new(departed.clone())));
+    assert_eq!(
+        departure_told(&mut control, at(10), &departed),
+        None,
+        "it knows"
+    );
+    let restarted = Member {
+        incarnation: Incarnation(2),
+        ..member(2)
+    };
+    assert_eq!(departure_told(&mut control, at(20), &restarted), Some(LEFT));
+    let informed = Member {
+        departed: Some(LEFT),
+        seq: 2,
+        ..restarted
+    };
+    assert_eq!(departure_told(&mut control, at(30), &informed), None);
+    assert_eq!(departure_told(&mut control, at(40), &member(3)), None);
+}
+
+// Guards against a restarted proxy that doesn't use what it is told about its server.
+#[test]
+fn a_departure_told_by_a_neighbour_reaches_the_local_server() {
+    let mut control = control();
+    let gossip = GossipUpdate {
+        departed: Some(77),
+        ..GossipUpdate::default()
+    };
+    let reply = RelayReply::Exchange(Box::default(), Box::new(gossip));
+    let replied = Event::Replied(neighbour(2), MessageKind::Exchange, Some(reply));
+    let actions = control.handle(at(0), replied);
+    let is_told = |action: &Action| matches!(action, Action::ServerDeparted(77));
+    assert!(actions.iter().any(is_told));
+}
--- a/crates/proxy/tests/known_proxies.rs
+++ b/crates/proxy/tests/known_proxies.rs
@@ -21,6 +21,7 @@
         peers: address,
         relay: address,
         server: None,
+        departed: None,
         leaving,
     }
 }
--- a/crates/standin/src/network.rs
+++ b/crates/standin/src/network.rs
@@ -96,6 +96,7 @@
         peers: address(i),
         relay: address(i),
         server: None,
+        departed: None,
         leaving: false,
     };
     let settings = MembershipSettings {
--- a/crates/traffic/src/local_server.rs
+++ b/crates/traffic/src/local_server.rs
@@ -4,6 +4,9 @@
 //! ordered by the start time of the process and then by sequence number. A withdrawal is final for
 //! its process: no announcement with the same start time makes the daemon send requests again. The
 //! same holds for a process that says in its answers that it leaves.
+//!
+//! A daemon that restarts has forgotten that a process left, so the other daemons tell it
+//! ([`LocalServerState::leave`]).
 
 use rf_base::ids::hash_key;
 use rf_base::{Millis, ServiceName, VersionName};
@@ -55,10 +58,14 @@
     /// Returns the fingerprint of the process. A process that is started again under its old id has
     /// another one.
     pub fn process(&self) -> u64 {
-        hash_key(format!("{} {}", self.id, self.started_ms).as_bytes())
+        process_of(&self.id, self.started_ms)
     }
 }
 
+fn process_of(id: &str, started_ms: u64) -> u64 {
+    hash_key(format!("{id} {started_ms}").as_bytes())
+}
+
 /// Reason why an announcement or a withdrawal was ignored.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ignored {
@@ -91,6 +98,8 @@
     Opened,
     /// The backend server no longer accepts requests.
     Closed,
+    /// A process that is not in use has left.
+    Departed,
     /// The announcement or the withdrawal was ignored.
     Ignored(Ignored),
 }
@@ -103,6 +112,8 @@
     /// Start time, sequence number and process id of the newest announcement.
     newest: Option<(u64, u64, String)>,
     has_departed: bool,
+    /// Fingerprint of the last process that left.
+    departed: Option<u64>,
     /// Process that withdrew without a known start time, with the time of the withdrawal.
     withdrawn: Option<(String, Millis)>,
     server: Option<LocalServer>,
@@ -116,6 +127,7 @@
             service,
             newest: None,
             has_departed: false,
+            departed: None,
             withdrawn: None,
             server: None,
         }
@@ -126,11 +138,17 @@
         self.server.as_ref()
     }
 
+    /// Returns the fingerprint of the last process that left, if it is known.
+    pub fn departed(&self) -> Option<u64> {
+        self.departed
+    }
+
     /// Applies an announcement that arrived at `now`.
     pub fn announce(&mut self, now: Millis, announcement: &Announcement) -> Change {
         if announcement.address != self.address || announcement.service != self.service {
             return Change::Ignored(Ignored::Foreign);
         }
+        let process = process_of(&announcement.id, announcement.started_ms);
         if self.is_withdrawn(now, announcement) {
             return Change::Ignored(Ignored::Departed);
         }
@@ -147,10 +165,13 @@
                 self.has_departed = false;
             }
         }
+        if self.departed == Some(process) {
+            return Change::Ignored(Ignored::Departed);
+        }
         self.newest = Some((started, announcement.seq, announcement.id.clone()));
         match announcement.is_ready {
             true => self.open(now, announcement),
-            false => self.close(),
+            false => self.close(Some(process)),
         }
     }
 
@@ -188,7 +209,7 @@
                 if started_ms.is_some_and(|started| started < *newest) {
                     return Change::Ignored(Ignored::Stale);
                 }
-                self.close()
+                self.close(None)
             }
             Some((newest, ..)) if started_ms.is_none_or(|started| started <= *newest) => {
                 Change::Ignored(Ignored::Stale)
@@ -198,15 +219,17 @@
                     self.withdrawn = Some((id.to_owned(), now));
                 }
                 self.newest = Some((started_ms.unwrap_or(0), u64::MAX, id.to_owned()));
-                self.close()
+                self.close(started_ms.map(|started| process_of(id, started)))
             }
         }
     }
 
-    /// Applies that `process` says in its answers that it leaves.
+    /// Applies that `process` says in its answers that it leaves, or that another daemon knows it
+    /// has left.
     pub fn leave(&mut self, process: u64) -> Change {
         match &self.server {
-            Some(server) if server.process() == process => self.close(),
+            Some(server) if server.process() == process => self.close(Some(process)),
+            _ if self.departed.is_none() => self.record_departure(Some(process)),
             _ => Change::Same,
         }
     }
@@ -225,12 +248,24 @@
         })
     }
 
-    fn close(&mut self) -> Change {
+    /// Takes the server out of use; `process` is the one that left, if it is not that server.
+    fn close(&mut self, process: Option<u64>) -> Change {
         self.has_departed = true;
-        match self.server.take() {
+        let server = self.server.take();
+        let used = server.as_ref().map(LocalServer::process);
+        let change = self.record_departure(process.or(used));
+        match server {
             Some(_) => Change::Closed,
-            None => Change::Same,
+            None => change,
+        }
+    }
+
+    fn record_departure(&mut self, process: Option<u64>) -> Change {
+        if process.is_none() || process == self.departed {
+            return Change::Same;
         }
+        self.departed = process;
+        Change::Departed
     }
 }
 
--- a/crates/traffic/tests/decisions.rs
+++ b/crates/traffic/tests/decisions.rs
@@ -187,6 +187,7 @@
             since: Millis(0),
             drained: false,
         }),
+        departed: None,
         leaving: false,
     }
 }
--- a/crates/traffic/tests/local_server.rs
+++ b/crates/traffic/tests/local_server.rs
@@ -166,3 +166,48 @@
         assert_eq!(state.withdraw(NOW, "a", Some(started_ms)), Change::Closed);
     }
 }
+
+// Guards against a proxy that restarts after a withdrawal and opens its gate on a late heartbeat.
+#[test]
+fn a_departure_that_others_remember_outlives_a_restart() {
+    let mut before = new_state();
+    announce(&mut before, &announcement("a", 10, 5, true));
+    assert_eq!(before.withdraw(NOW, "a", None), Change::Closed);
+    let departed = before.departed().expect("the process is known");
+    let mut restarted = new_state();
+    assert_eq!(restarted.leave(departed), Change::Departed);
+    assert_eq!(restarted.leave(departed), Change::Same);
+    let late = announce(&mut restarted, &announcement("a", 10, 4, true));
+    assert_eq!(late, Change::Ignored(Ignored::Departed));
+    assert!(restarted.server().is_none());
+    let next = announce(&mut restarted, &announcement("a", 11, 1, true));
+    assert_eq!(next, Change::Opened);
+}
+
+// Guards against the same after a late heartbeat that came before the news, and against a server in
+// use that closes because an earlier process left.
+#[test]
+fn a_departure_closes_the_process_that_it_names_and_no_other() {
+    let mut state = new_state();
+    announce(&mut state, &announcement("a", 10, 4, true));
+    let used = state.server().expect("it is in use").process();
+    assert_eq!(state.leave(used), Change::Closed);
+    assert_eq!(state.departed(), Some(used));
+    let mut replaced = new_state();
+    announce(&mut replaced, &announcement("b", 20, 1, true));
+    assert_eq!(replaced.leave(used), Change::Departed);
+    assert!(replaced.server().is_some());
+}
+
+// Guards against a departure that is known only from a draining heartbeat or a withdrawal that
+// arrived after a restart, and is forgotten by the next restart.
+#[test]
+fn a_departure_without_a_server_in_use_is_told_too() {
+    let mut drained = new_state();
+    let change = announce(&mut drained, &announcement("a", 10, 6, false));
+    assert_eq!(change, Change::Departed);
+    let mut withdrawn = new_state();
+    assert_eq!(withdrawn.withdraw(NOW, "a", Some(10)), Change::Departed);
+    assert!(drained.departed().is_some());
+    assert_eq!(drained.departed(), withdrawn.departed());
+}
