Do not take a reply that knows of no limit for the end of the limit

Cause: a proxy that has restarted replies without a condition until it has read an answer, and its sender dropped the limit on such a reply, so that no attempt repeated it any more.

A gate whose server had a limit now says that it ended; a reply without a condition ends a limit only if nothing was told for 60 s. a_departure_is_remembered_until_... expected that such a reply ends a limit at once, which is the fault; it now expects that of a reply that says so.

Measured: the two new tests and the changed one failed with the earlier told.rs and pass with this one.

--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -181,7 +181,7 @@
             mean_run: inner.queue.average_run(),
             route_run: inner.queue.average_run_of(route),
             rate_wait: inner.queue.rate_wait(now),
-            condition: inner.condition.condition(),
+            condition: inner.condition.told(),
             slowness: inner.queue.slowness().report(now),
         }
     }
--- a/crates/traffic/src/condition.rs
+++ b/crates/traffic/src/condition.rs
@@ -55,6 +55,8 @@
     named_at: Millis,
     /// Whether an answer of this process has been read.
     is_observed: bool,
+    /// Whether the process has named a limit, which others may have been told.
+    had_limit: bool,
 }
 
 impl ConditionTracker {
@@ -65,6 +67,12 @@
         is_stated.then_some(condition)
     }
 
+    /// Returns what other proxies are told: the condition, also that a limit has ended.
+    pub fn told(&self) -> Option<ServerCondition> {
+        let has_ended = self.is_observed && self.had_limit;
+        self.condition().or(has_ended.then_some(self.condition))
+    }
+
     /// Returns the limit in force.
     pub fn limit(&self) -> Option<RequestRate> {
         self.condition.limit
@@ -105,6 +113,7 @@
             (StatedLimit::Named(rate), Some(known)) if *rate > known && !is_newer => {}
             (StatedLimit::Named(rate), _) => {
                 self.condition.limit = Some(*rate);
+                self.had_limit = true;
                 self.named_at = now;
             }
             (StatedLimit::Absent, Some(_)) if is_newer => self.condition.limit = None,
@@ -121,6 +130,7 @@
             return ConditionChange::default();
         }
         let before = self.condition.limit;
+        self.had_limit |= told.limit.is_some();
         if !self.is_observed && before.is_none() {
             self.condition.limit = told.limit;
             self.named_at = now;
--- a/crates/traffic/src/told.rs
+++ b/crates/traffic/src/told.rs
@@ -19,18 +19,23 @@
 }
 
 impl ToldConditions {
-    /// Records the condition in a reply of `instance`; `None` if its server has stated nothing.
+    /// Records the condition in a reply of `instance`; `None` if its proxy knows nothing.
     ///
-    /// That a process leaves is kept until another process is known there.
+    /// A proxy that has restarted knows nothing at first, so that doesn't end a limit that was told
+    /// lately. That a process leaves is kept until another process is known there.
     pub fn observe(&mut self, now: Millis, instance: InstanceId, told: Option<ServerCondition>) {
-        let known = self.get(instance);
+        let known = self.entries.get(&instance);
         let Some(mut told) = told else {
-            if known.is_some_and(|k| !k.is_leaving) {
+            if known.is_some_and(|(k, at)| !k.is_leaving && now.since(*at) >= MAX_AGE) {
                 self.entries.remove(&instance);
             }
             return;
         };
-        told.is_leaving |= known.is_some_and(|k| k.process == told.process && k.is_leaving);
+        told.is_leaving |= known.is_some_and(|(k, _)| k.process == told.process && k.is_leaving);
+        if told.limit.is_none() && !told.is_leaving {
+            self.entries.remove(&instance);
+            return;
+        }
         if self.entries.len() > MAX_FRESH {
             self.entries.retain(|_, (_, at)| now.since(*at) < MAX_AGE);
         }
--- a/crates/traffic/tests/condition.rs
+++ b/crates/traffic/tests/condition.rs
@@ -91,7 +91,11 @@
     };
     conditions.observe(Millis(4), instance, Some(next));
     assert_eq!(conditions.get(instance), Some(next));
-    conditions.observe(Millis(5), instance, None);
+    let unlimited = ServerCondition {
+        limit: None,
+        ..next
+    };
+    conditions.observe(Millis(5), instance, Some(unlimited));
     assert_eq!(conditions.get(instance), None);
 }
 
@@ -109,3 +113,36 @@
         prop_assert!(parsed.is_ok_and(|r| (r.as_per_second() - rate).abs() < 0.01));
     }
 }
+
+// Guards against a limit that all proxies forget because the proxy beside the server has restarted
+// and replies before it has read an answer of the server.
+#[test]
+fn a_reply_of_a_restarted_proxy_does_not_end_a_limit() {
+    let server = InstanceId(3);
+    let mut tolds = ToldConditions::default();
+    tolds.observe(Millis(0), server, Some(told(Some(1), false)));
+    let mut restarted = tracker();
+    tolds.observe(Millis(500), server, restarted.told());
+    let repeated = tolds.get(server).expect("the limit is known");
+    assert_eq!(repeated.limit, Some(RequestRate::per_second(1)));
+    restarted.adopt(Millis(510), &repeated);
+    assert_eq!(restarted.limit(), repeated.limit);
+}
+
+// Guards against a limit that others keep after it has ended, also if the restarted proxy learns of
+// it only after it has read an answer without one.
+#[test]
+fn the_end_of_a_limit_is_told() {
+    let server = InstanceId(3);
+    let mut tolds = ToldConditions::default();
+    tolds.observe(Millis(0), server, Some(told(Some(1), false)));
+    let mut restarted = tracker();
+    restarted.observe(Millis(100), PROCESS, Millis(50), &Statement::default());
+    restarted.adopt(Millis(110), &tolds.get(server).expect("known"));
+    assert_eq!(restarted.limit(), None);
+    tolds.observe(Millis(120), server, restarted.told());
+    assert_eq!(tolds.get(server), None);
+    tolds.observe(Millis(200), server, Some(told(Some(1), false)));
+    tolds.observe(Millis(70_000), server, None);
+    assert_eq!(tolds.get(server), None, "nothing was told for a minute");
+}
