Do not return the tokens of a hedged attempt that a server has shed

Callers: none saw it; with policy.hedging on (off by default) servers got more second copies than the operators' limit and the retry budget allow.

Cause: conclude_hedge took every "not run" for a refusal by a gate. A server that rejects has received the request, so it is an arrival beyond the first.

--- a/crates/proxy/src/dispatch/hedge.rs
+++ b/crates/proxy/src/dispatch/hedge.rs
@@ -13,7 +13,7 @@
 use async_std::future::timeout;
 use futures_lite::FutureExt;
 use rf_base::{InstanceId, Millis, Verdict};
-use rf_protocol::relay::AttemptEnd;
+use rf_protocol::relay::{AttemptEnd, Rejection};
 use rf_traffic::{Candidate, HedgeTimes, RetryState};
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -30,7 +30,7 @@
 enum HedgeResult {
     /// Its response was used.
     Won,
-    /// The response of the first attempt was used, or it failed.
+    /// The response of the first attempt was used, or it failed or was rejected by its server.
     Lost,
     /// It did not reach a backend server.
     Refused,
@@ -106,6 +106,8 @@
         let is_won = hedge_end.as_ref().is_some_and(is_served);
         let (result, verdict) = match &hedge_end {
             _ if is_won => (HedgeResult::Won, Verdict::Ran),
+            // It reached a server, as each attempt that the retry budget bounds.
+            Some(AttemptEnd::NotRun(Rejection::Shed)) => (HedgeResult::Lost, Verdict::NotRun),
             Some(AttemptEnd::NotRun(_)) => (HedgeResult::Refused, Verdict::NotRun),
             _ => (HedgeResult::Lost, Verdict::MayHaveRun),
         };
--- a/crates/standin/src/users/mesh.rs
+++ b/crates/standin/src/users/mesh.rs
@@ -8,8 +8,8 @@
 use rf_base::{Clock, Millis};
 use rf_config::ProxySettings;
 use rf_config::proxy::{
-    Bounds, LoadPolicy, LocalServer, ProcessLimits, ProxyListen, QUOTA_OVER, QUOTA_SLACK,
-    QUOTA_WINDOW,
+    Bounds, HedgingPolicy, LoadPolicy, LocalServer, ProcessLimits, ProxyListen, QUOTA_OVER,
+    QUOTA_SLACK, QUOTA_WINDOW,
 };
 use rf_platform::{ObjectClient, PlatformDialect, PlatformSource};
 use rf_proxy::Proxy;
@@ -50,6 +50,8 @@
     /// Port at which the proxies reach each other, if it is not that on which they listen
     /// ([`RELAY_PORT`]).
     pub relay_public: Option<u16>,
+    /// Limit on hedged requests; off by default.
+    pub hedging: HedgingPolicy,
 }
 
 impl Default for MeshSettings {
@@ -61,6 +63,7 @@
             grace: STOP_GRACE,
             link: LINK_MBIT,
             relay_public: None,
+            hedging: HedgingPolicy::default(),
         }
     }
 }
@@ -195,6 +198,7 @@
         let mut settings = proxy_settings(&name, service, ip, self.store.address());
         settings.limits.link = self.settings.link;
         settings.bounds.grace = self.settings.grace;
+        settings.policy.hedging = self.settings.hedging;
         let relay_public = self.settings.relay_public;
         settings.listen.relay_public = relay_public.map(|port| SocketAddr::new(ip, port));
         let mut instance = Instance {
