Count bodies in chunks towards the memory for requests

Cause, in part: memory was reserved by Content-Length only, so that bodies in chunks were held without a limit.

A body in chunks now reserves memory as it arrives; beyond the budget its caller gets 503 with Retry-After. A budget that is used up is an error of its own, no longer "body too large".

--- a/crates/proxy/src/ingress/connection.rs
+++ b/crates/proxy/src/ingress/connection.rs
@@ -59,8 +59,16 @@
         }
     }
 
+    fn out_of_memory() -> Refusal {
+        Refusal {
+            retry: Some(MEMORY_RETRY),
+            ..Refusal::status(503)
+        }
+    }
+
     fn unreadable(error: &ReadError) -> Refusal {
         let status = match error {
+            ReadError::OutOfMemory => return Refusal::out_of_memory(),
             ReadError::HeadTooLarge { .. } => 431,
             ReadError::BodyTooLarge { .. } => 413,
             _ => 400,
@@ -210,20 +218,22 @@
         framing,
         start,
     } = unread;
-    let expected = match framing {
-        Framing::Length(n) => n,
-        _ => 0,
+    let memory = match framing {
+        Framing::Length(length) => shared.request_memory.reserve(length),
+        _ => Some(shared.request_memory.empty_reservation()),
     };
-    let memory = shared.request_memory.reserve(expected).ok_or(Refusal {
-        retry: Some(MEMORY_RETRY),
-        ..Refusal::status(503)
-    })?;
+    let memory = memory.ok_or_else(Refusal::out_of_memory)?;
     if head.headers.has_token("expect", "100-continue") {
         let interim = b"HTTP/1.1 100 Continue\r\n\r\n";
         let sent = connection.write(interim).await;
         sent.map_err(|_| Refusal::status(400))?;
     }
-    let body = connection.read_body(framing, &read_limits(limits)).await;
+    // The length of a body in chunks is not known before, so its memory is reserved as it arrives.
+    let limits = read_limits(limits);
+    let body = match framing {
+        Framing::Chunked => connection.read_budgeted(framing, &limits, &memory).await,
+        _ => connection.read_body(framing, &limits).await,
+    };
     let body = body.map_err(|e| Refusal::unreadable(&e))?;
     let metadata = shared.dialect.read_caller(&head.headers);
     let parent = shared.dialect.parent_request_id(&metadata.request_id);
--- a/crates/proxy/tests/uploads.rs
+++ b/crates/proxy/tests/uploads.rs
@@ -1,8 +1,9 @@
 //! Long bodies of requests that must run at most once.
 
 use async_std::task;
+use futures_lite::AsyncWriteExt;
 use rf_base::Millis;
-use rf_standin::users::mesh::CallerRequest;
+use rf_standin::users::mesh::{CallerRequest, read_answer, wait_until};
 use rf_standin::users::server::long_response_body;
 use rf_standin::users::{Mesh, MeshSettings};
 use std::sync::Arc;
@@ -95,3 +96,59 @@
     let sent = sent_bytes(&mesh, 1);
     assert!(sent < 5 * LONG_BODY_BYTES as u64, "{sent} bytes");
 }
+
+/// Sends all of a long body in chunks but its end, and waits for the answer; returns the status, or
+/// `None` if the connection is closed without one.
+async fn send_unfinished(mesh: &Mesh, request: &str, bytes: usize) -> Option<u16> {
+    let mut connection = mesh.connect(0).await.expect("a connection");
+    let head = format!(
+        "POST /pay/x HTTP/1.1\r\nHost: mesh.example\r\nX-Rosemaryfork-Request-Id: {request}\r\n\
+         X-Rosemaryfork-Deadline-Ms: 3000\r\nTransfer-Encoding: chunked\r\n\r\n{bytes:x}\r\n"
+    );
+    let mut stream = connection.writer();
+    let body = vec![b'a'; bytes];
+    let sending = async {
+        stream.write_all(head.as_bytes()).await.ok();
+        stream.write_all(&body).await.ok();
+        std::future::pending().await
+    };
+    let answer = async { Some(read_answer(&mut connection, "POST").await) };
+    let answer = futures_lite::future::or(answer, sending).await;
+    answer.and_then(Result::ok).map(|a| a.head.status)
+}
+
+// Guards against bodies in chunks that are held without a limit, until the process is killed with
+// all that it has under way.
+#[async_std::test]
+async fn bodies_in_chunks_share_the_memory_for_requests() {
+    const BODY_BYTES: usize = 1_000_000;
+    const SENDERS: usize = 80;
+    let settings = MeshSettings {
+        network: 201,
+        ..MeshSettings::default()
+    };
+    let mesh = Arc::new(start(settings).await);
+    // 67 of them fit into the 64 MiB that the settings allow.
+    let senders = (0..SENDERS).map(|number| {
+        let mesh = mesh.clone();
+        let request = format!("r-{number}");
+        task::spawn(async move {
+            let answer = send_unfinished(&mesh, &request, BODY_BYTES);
+            async_std::future::timeout(Millis(2500).duration(), answer).await
+        })
+    });
+    let senders: Vec<_> = senders.collect();
+    let mut refused = 0;
+    for sender in senders {
+        if let Ok(status) = sender.await {
+            assert!([None, Some(503)].contains(&status), "{status:?}");
+            refused += 1;
+        }
+    }
+    assert!((13..=40).contains(&refused), "{refused} refused");
+    wait_until("the memory is free again", || async {
+        let answer = mesh.send(0, &upload("later")).await;
+        answer.is_ok_and(|a| a.head.status == 200)
+    })
+    .await;
+}
--- a/crates/transport/src/h1/connection.rs
+++ b/crates/transport/src/h1/connection.rs
@@ -87,9 +87,12 @@
 impl<B: ByteBudget> Sink<'_, B> {
     fn extend(&mut self, bytes: &[u8]) -> Result<()> {
         let fits = self.length.saturating_add(bytes.len()) <= self.limit;
-        if !fits || !self.budget.try_take(bytes.len()) {
+        if !fits {
             return Err(ReadError::BodyTooLarge { limit: self.limit });
         }
+        if !self.budget.try_take(bytes.len()) {
+            return Err(ReadError::OutOfMemory);
+        }
         self.length += bytes.len();
         if !self.last.is_empty() && self.last.len() + bytes.len() > SEGMENT_BYTES {
             let next = Vec::with_capacity(SEGMENT_BYTES);
@@ -136,7 +139,10 @@
         /// Size limit, in bytes.
         limit: usize,
     },
-    /// The body exceeds its limit or the shared budget.
+    /// The body exceeds the memory budget that it shares with others.
+    #[snafu(display("the memory budget for bodies is used up"))]
+    OutOfMemory,
+    /// The body exceeds its limit.
     #[snafu(display("body exceeds {limit} bytes"))]
     BodyTooLarge {
         /// Size limit, in bytes.
