Look for servers not tried before in later rounds only

A second read of the change: every request computed the set of servers that it had ever tried and looked for one with a free slot, although before the second round that set is the one of the current round and the result is the same. Whether a slot is free was derived from an expected wait of zero, which needs run times that do not matter for it.

The set now exists only after an earlier round, and a free slot is judged by the requests ahead and the rate limit. The conditions are equal, since expected run times are above zero; no test was changed.

--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -283,10 +283,8 @@
         let mut placement = shared.placement();
         // In a later round, the servers that have refused go after those that may have a free slot.
         let ever_tried = retry_state.ever_tried();
-        let tried = match placement.has_free_slot(now, candidates, &ever_tried) {
-            true => &ever_tried,
-            false => retry_state.tried(),
-        };
+        let ever_tried = ever_tried.filter(|t| placement.has_free_slot(now, candidates, t));
+        let tried = ever_tried.as_ref().unwrap_or(retry_state.tried());
         let chosen = match retry_state.was_shed() {
             true => placement.choose_after_shed(now, candidates, tried, &placement_request),
             false => placement.choose(now, candidates, tried, &placement_request),
--- a/crates/traffic/src/offers.rs
+++ b/crates/traffic/src/offers.rs
@@ -98,9 +98,11 @@
         &self.tried
     }
 
-    /// Returns the instances that were tried in this round or an earlier one.
-    pub fn ever_tried(&self) -> BTreeSet<InstanceId> {
-        self.tried_before.union(&self.tried).copied().collect()
+    /// Returns the instances that were tried in this round or an earlier one, or `None` if no round
+    /// came before.
+    pub fn ever_tried(&self) -> Option<BTreeSet<InstanceId>> {
+        let has_earlier = !self.tried_before.is_empty();
+        has_earlier.then(|| self.tried_before.union(&self.tried).copied().collect())
     }
 
     /// Returns whether the request is in its last round, in which it waits longer, for slots that
--- a/crates/traffic/src/placement.rs
+++ b/crates/traffic/src/placement.rs
@@ -269,7 +269,7 @@
         }
         let mean_time = self.mean_run_time(candidates);
         let others = self.find_usable(now, candidates, tried).into_iter();
-        let free = others.filter(|c| c.instance != chosen && self.is_free(now, c, mean_time));
+        let free = others.filter(|c| c.instance != chosen && self.is_free(now, c));
         let times = free.map(|c| {
             let zone_cost = match c.is_near {
                 true => Millis::ZERO,
@@ -287,16 +287,20 @@
         candidates: &[Candidate],
         tried: &BTreeSet<InstanceId>,
     ) -> bool {
-        let mean_time = self.mean_run_time(candidates);
         let untried = candidates.iter().filter(|c| !tried.contains(&c.instance));
         let mut usable = untried.filter(|c| !self.is_ejected(now, c.instance));
-        usable.any(|c| self.is_free(now, c, mean_time))
+        usable.any(|c| self.is_free(now, c))
     }
 
-    /// Returns whether a candidate is expected to have a free slot.
-    fn is_free(&self, now: Millis, candidate: &Candidate, mean_time: f64) -> bool {
-        let run_time = self.current_run_time(now, candidate, mean_time);
-        self.expected_wait(now, candidate, run_time) == 0.0
+    /// Returns whether a candidate is expected to have a free slot and no wait for its rate limit.
+    fn is_free(&self, now: Millis, candidate: &Candidate) -> bool {
+        self.excess(now, candidate) <= 0.0 && self.rate_wait(now, candidate.instance) == 0.0
+    }
+
+    /// Returns by how much one more request would exceed the slots of a candidate; negative if slots
+    /// stay free.
+    fn excess(&self, now: Millis, candidate: &Candidate) -> f64 {
+        self.occupancy(now, candidate.instance) + 1.0 - f64::from(candidate.slots.max(1))
     }
 
     /// Returns the untried candidates that are not ejected, or all untried ones if all are.
@@ -444,8 +448,7 @@
     /// Returns the expected wait for a slot and for the rate limit, in milliseconds.
     fn expected_wait(&self, now: Millis, candidate: &Candidate, run_time: f64) -> f64 {
         let slots = f64::from(candidate.slots.max(1));
-        let ahead = self.occupancy(now, candidate.instance) + 1.0 - slots;
-        let slot_wait = ahead.max(0.0) * run_time / slots;
+        let slot_wait = self.excess(now, candidate).max(0.0) * run_time / slots;
         slot_wait.max(self.rate_wait(now, candidate.instance))
     }
 
