--- a/crates/proxy/src/control/machine.rs
+++ b/crates/proxy/src/control/machine.rs
@@ -4,6 +4,7 @@
 //! merged from two sources: the store, and gossip from other proxies, which also reaches a proxy
 //! that has no connection to the store. Each change leads to a new [`View`] for the data plane.
 
+mod description;
 mod views;
 
 use super::event::{Action, Event, ExchangeSender, MessageKind};
@@ -16,8 +17,8 @@
 use rf_membership::overlay::highest_ranked;
 use rf_membership::{ExchangeTarget, Membership, MembershipSettings};
 use rf_protocol::relay::{GossipUpdate, RelayReply, RelayRequest, TrialReport};
-use rf_protocol::{Exchange, Member, ServerInfo, Strike};
-use rf_traffic::{LocalServer, StrikeTable};
+use rf_protocol::{Exchange, Member, Strike};
+use rf_traffic::StrikeTable;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -314,15 +315,6 @@
         }
     }
 
-    /// Returns the process that left the server beside `id`, if the proxy there does not say so
-    /// itself.
-    fn forgotten_departure(&self, id: InstanceId) -> Option<u64> {
-        let roster = self.membership.roster();
-        let departed = roster.departed(id)?;
-        let is_known = roster.get(id).is_some_and(|m| m.departed.is_some());
-        (!is_known).then_some(departed)
-    }
-
     /// Records that the store is in `era`. A new era means that the store was restored from a
     /// backup; each proxy then writes its own lost objects again.
     fn update_era(&mut self, now: Millis, era: Option<u64>, actions: &mut Vec<Action>) {
@@ -563,47 +555,4 @@
             self.send_exchange(Millis::ZERO, target, exchange, actions);
         }
     }
-
-    fn describe_server(
-        &mut self,
-        now: Millis,
-        local: Option<&LocalServer>,
-        departed: Option<u64>,
-        actions: &mut Vec<Action>,
-    ) {
-        let server = local.map(|s| ServerInfo {
-            service: s.service.clone(),
-            version: s.version.clone(),
-            slots: s.slots,
-            since: now,
-            drained: false,
-        });
-        let leaves = server.is_none() && self.membership.me().server.is_some();
-        self.membership.update_local(now, |me| {
-            me.server = server;
-            me.departed = departed;
-        });
-        if leaves {
-            self.broadcast_me(actions);
-        }
-    }
-
-    fn stop(&mut self, now: Millis, actions: &mut Vec<Action>) {
-        self.membership.update_local(now, |me| me.leaving = true);
-        self.broadcast_me(actions);
-    }
-
-    /// Sends this proxy's description to every proxy directly instead of by gossip.
-    fn broadcast_me(&self, actions: &mut Vec<Action>) {
-        let me = self.membership.me();
-        let roster = self.membership.roster();
-        for member in roster.reachable().filter(|m| m.id != me.id) {
-            let target = ExchangeTarget {
-                id: Some(member.id),
-                address: member.peers,
-            };
-            let request = RelayRequest::Member(Box::new(me.clone()));
-            actions.push(Action::Send(target, MessageKind::Tell, Box::new(request)));
-        }
-    }
 }
