--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -15,6 +15,7 @@
 use rf_base::{Incarnation, InstanceId, Millis, ZoneName};
 use rf_protocol::{Alert, Member};
 use std::collections::BTreeMap;
+use tracing::info;
 
 /// Number of buckets of the digest.
 pub const BUCKETS: usize = 64;
@@ -155,7 +156,12 @@
         {
             return false;
         }
-        let departed = member.departed.or(self.departed(member.id));
+        let known = self.departed(member.id);
+        let departed = member.departed.or(known);
+        if let Some(process) = departed.filter(|_| departed != known) {
+            let (instance, life) = (&member.name, member.incarnation.0);
+            info!(event = "departure.known", instance, process, life);
+        }
         self.remove_entry(member.id);
         self.toggle_hash(member.id, hash_member(member));
         let entry = Entry {
--- a/crates/proxy/src/admin.rs
+++ b/crates/proxy/src/admin.rs
@@ -5,6 +5,7 @@
 use crate::local;
 use crate::shared::Shared;
 use async_std::net::TcpListener;
+use rf_traffic::LocalServerState;
 use rf_traffic::local_server::Change;
 use rf_transport::h1::{Connection, ReadLimits, ResponseHead, frame_request};
 use std::sync::Arc;
@@ -77,6 +78,9 @@
                     ?change
                 ),
             }
+            if !is_ready {
+                report_departure(shared, &server_state, "draining", id, change);
+            }
             (200, Vec::new())
         }
         AdminCall::Withdraw { id, started_at } => {
@@ -84,6 +88,7 @@
             let change = server_state.withdraw(shared.now(), &id, started_at);
             local::apply(shared, &server_state, change);
             info!(event = "server.withdrawn", id, born = started_at, ?change);
+            report_departure(shared, &server_state, "withdrawal", &id, change);
             (200, Vec::new())
         }
         AdminCall::Malformed(message) => {
@@ -95,6 +100,29 @@
     }
 }
 
+/// Counts a call by which the server `id` says that it leaves, and warns if the gate stays open for
+/// that id.
+fn report_departure<D>(
+    shared: &Shared<D>,
+    server_state: &LocalServerState,
+    call: &str,
+    id: &str,
+    change: Change,
+) {
+    let in_use = server_state.server().filter(|s| s.id == id);
+    let result = match (in_use, change) {
+        (Some(_), _) => "not-applied",
+        (None, Change::Ignored(_)) => "ignored",
+        (None, _) => "applied",
+    };
+    let departures = &shared.metrics.departures;
+    departures.with_label_values(&[call, result]).inc();
+    if let Some(server) = in_use {
+        let (process, born) = (server.process(), server.started_ms);
+        warn!(event = "departure.not-applied", call, id, process, born, ?change);
+    }
+}
+
 fn readiness<D>(shared: &Shared<D>) -> u16 {
     let is_ready = shared.view.load().is_known() && !shared.is_stopping();
     if is_ready { 200 } else { 503 }
--- a/crates/proxy/src/local.rs
+++ b/crates/proxy/src/local.rs
@@ -23,12 +23,21 @@
     };
     let announcements = &shared.metrics.announcements;
     announcements.with_label_values(&[name]).inc();
+    let uptime = shared.now().since(shared.started).0;
     match (change, state.server()) {
-        (Change::Opened, Some(server)) => shared.gate.open(server),
-        (Change::Closed, _) => shared.gate.close(),
+        (Change::Opened, Some(server)) => {
+            shared.gate.open(server);
+            let (id, process) = (&server.id, server.process());
+            info!(event = "gate.opened", id, process, uptime);
+        }
+        (Change::Closed, _) => {
+            shared.gate.close();
+            info!(event = "gate.closed", process = state.departed(), uptime);
+        }
         (Change::Departed, _) => {}
         _ => return,
     }
+    shared.metrics.gate_open.set(state.server().is_some().into());
     let server = state.server().cloned();
     shared.send_event(Event::ServerChanged(server, state.departed()));
 }
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -42,6 +42,10 @@
     pub relay_bytes: IntCounterVec,
     /// Announcements of the local backend server, by the change that they caused.
     pub announcements: IntCounterVec,
+    /// Calls by which the local backend server says that it leaves, by call and result.
+    pub departures: IntCounterVec,
+    /// Whether the gate admits requests to the local backend server: 1 or 0.
+    pub gate_open: IntGauge,
     /// Changes of what the local backend server says about itself, and unreadable statements.
     pub statements: IntCounterVec,
     /// Requests per second that the local backend server takes; -1 if it names no limit.
@@ -147,6 +151,12 @@
                 &["kind", "zone"],
             ),
             announcements: counters("announcements_total", "Announcements", &["change"]),
+            departures: counters(
+                "departures_total",
+                "Calls by which the server says that it leaves",
+                &["call", "result"],
+            ),
+            gate_open: gauge("gate_open", "Whether the gate admits requests"),
             statements: counters("server_statements_total", "What the server says", &["kind"]),
             server_limit,
             unauthorised: counters(
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -52,6 +52,8 @@
     pub instance_id: InstanceId,
     /// Incarnation of this process; distinguishes it from earlier ones on the same instance.
     pub incarnation: Incarnation,
+    /// Time at which this process started.
+    pub started: Millis,
     /// Routes and servers that requests are dispatched by; published by the control plane.
     pub view: ArcSwap<View>,
     /// Crashes of backend servers by the request that caused them.
@@ -131,6 +133,7 @@
             dialect,
             instance_id,
             incarnation,
+            started: clock.now(),
             gate: Gate::new(
                 clock.clone(),
                 instance_id,
