--- a/crates/proxy/src/admin.rs
+++ b/crates/proxy/src/admin.rs
@@ -119,7 +119,14 @@
     departures.with_label_values(&[call, result]).inc();
     if let Some(server) = in_use {
         let (process, born) = (server.process(), server.started_ms);
-        warn!(event = "departure.not-applied", call, id, process, born, ?change);
+        warn!(
+            event = "departure.not-applied",
+            call,
+            id,
+            process,
+            born,
+            ?change
+        );
     }
 }
 
--- a/crates/proxy/src/local.rs
+++ b/crates/proxy/src/local.rs
@@ -37,7 +37,10 @@
         (Change::Departed, _) => {}
         _ => return,
     }
-    shared.metrics.gate_open.set(state.server().is_some().into());
+    shared
+        .metrics
+        .gate_open
+        .set(state.server().is_some().into());
     let server = state.server().cloned();
     shared.send_event(Event::ServerChanged(server, state.departed()));
 }
