Obey a departure whatever start time it names

Callers: a server was started again under its id with an earlier start time, since the clock of its machine had been set back.

Cause: an announcement that ranks below the newest one was ignored whatever it said, and the answer did not depend on that.

A departure now closes the gate for its id in any order. Either an earlier process is late or a later one has an earlier start time; in both cases the newest process must announce itself anew, and one late heartbeat does not reopen the gate. A process that seems to be earlier replaces the one in use once that has been silent for 3 s, so such a server is used as well. Departures are kept with id and start time (Departure), so that the heartbeats of earlier processes under the same id are recognised after a restart too.

--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -11,7 +11,7 @@
 use crate::overlay::{compute_neighbours, is_forwarder};
 use crate::roster::{Reachability, Roster};
 use rf_base::{Incarnation, InstanceId, Millis, SeededRandom};
-use rf_protocol::{Alert, Exchange, ExchangeReply, Member};
+use rf_protocol::{Alert, Departure, Exchange, ExchangeReply, Member};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use tracing::info;
@@ -122,6 +122,11 @@
         })
     }
 
+    /// Remembers a departure from the backend server beside a daemon, which may forget it itself.
+    pub fn remember_departure(&mut self, id: InstanceId, departure: Departure) {
+        self.roster.remember_departure(id, departure);
+    }
+
     /// Applies `change` to this daemon's own description and gossips the result if it differs.
     pub fn update_local(&mut self, now: Millis, change: impl FnOnce(&mut Member)) {
         let before = self.me.clone();
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -13,7 +13,7 @@
 
 use rf_base::ids::hash_key;
 use rf_base::{Incarnation, InstanceId, Millis, ZoneName};
-use rf_protocol::{Alert, Member};
+use rf_protocol::{Alert, Departure, Member};
 use std::collections::BTreeMap;
 use tracing::info;
 
@@ -39,9 +39,6 @@
 #[derive(Clone, Debug)]
 struct Entry {
     member: Member,
-    /// Last process of its backend server that is known to have left, also from earlier
-    /// incarnations of the daemon, which forgets it when it restarts.
-    departed: Option<u64>,
     /// Time at which the alert of each observer was received.
     alerts: BTreeMap<InstanceId, Millis>,
     unreachable_since: Option<Millis>,
@@ -58,6 +55,9 @@
 pub struct Roster {
     entries: BTreeMap<InstanceId, Entry>,
     tombstones: BTreeMap<InstanceId, Tombstone>,
+    /// Last departure from the backend server beside each daemon. A daemon forgets its own when it
+    /// restarts.
+    departures: BTreeMap<InstanceId, Departure>,
     buckets: [u64; BUCKETS],
     revision: u64,
 }
@@ -67,6 +67,7 @@
         Roster {
             entries: BTreeMap::new(),
             tombstones: BTreeMap::new(),
+            departures: BTreeMap::new(),
             buckets: [0; BUCKETS],
             revision: 0,
         }
@@ -84,9 +85,20 @@
         self.entries.get(&id).map(|e| &e.member)
     }
 
-    /// Returns the last process of the backend server beside a daemon that is known to have left.
-    pub fn departed(&self, id: InstanceId) -> Option<u64> {
-        self.entries.get(&id).and_then(|e| e.departed)
+    /// Returns the last known departure from the backend server beside a daemon.
+    pub fn departed(&self, id: InstanceId) -> Option<Departure> {
+        self.departures.get(&id).copied()
+    }
+
+    /// Remembers a departure from the backend server beside a daemon, unless a later one is known.
+    pub fn remember_departure(&mut self, id: InstanceId, departure: Departure) {
+        let known = self.departed(id);
+        if known.is_some_and(|k| k == departure || k.at > departure.at) {
+            return;
+        }
+        info!(event = "departure.known", instance = %id, process = departure.process);
+        self.departures.insert(id, departure);
+        self.revision += 1;
     }
 
     /// Returns all descriptions, unreachable daemons included.
@@ -156,17 +168,13 @@
         {
             return false;
         }
-        let known = self.departed(member.id);
-        let departed = member.departed.or(known);
-        if let Some(process) = departed.filter(|_| departed != known) {
-            let (instance, life) = (&member.name, member.incarnation.0);
-            info!(event = "departure.known", instance, process, life);
+        if let Some(departure) = member.departed {
+            self.remember_departure(member.id, departure);
         }
         self.remove_entry(member.id);
         self.toggle_hash(member.id, hash_member(member));
         let entry = Entry {
             member: member.clone(),
-            departed,
             alerts: BTreeMap::new(),
             unreachable_since: None,
         };
@@ -249,6 +257,9 @@
         self.forget(now, forget, forget_zone);
         self.tombstones
             .retain(|_, t| now.since(t.at) < TOMBSTONE_LIFETIME);
+        let entries = &self.entries;
+        self.departures
+            .retain(|id, d| entries.contains_key(id) || now.since(d.at) < TOMBSTONE_LIFETIME);
     }
 
     fn forget(&mut self, now: Millis, forget: Millis, forget_zone: Millis) {
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -17,5 +17,5 @@
 pub use attempt::{AcknowledgedHeader, AttemptHeader, AttemptHeaderError};
 pub use envelope::{EnvelopeError, MeshKey, open, seal};
 pub use evidence::{Evidence, RouteCounts, Side, Window};
-pub use member::{Alert, Member, ServerInfo};
+pub use member::{Alert, Departure, Member, ServerInfo};
 pub use message::{Exchange, ExchangeReply, LeaseHolder, Reply, Request, StopOrder, Strike};
--- a/crates/protocol/src/member.rs
+++ b/crates/protocol/src/member.rs
@@ -30,10 +30,9 @@
     pub server: Option<ServerInfo>,
     /// Whether the daemon is shutting down and accepts no new work.
     pub leaving: bool,
-    /// Fingerprint of the last process of the backend server that withdrew, drained or left, if the
-    /// daemon knows one.
+    /// Last process of the backend server that withdrew, drained or left, if the daemon knows one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub departed: Option<u64>,
+    pub departed: Option<Departure>,
 }
 
 impl Member {
@@ -43,6 +42,22 @@
     }
 }
 
+/// Departure of a process of a backend server, which must get no more requests.
+///
+/// It also covers the earlier processes with the same id, whose heartbeats may still arrive.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Departure {
+    /// Fingerprint of the process, or of its id and `at` if its start time is not known.
+    pub process: u64,
+    /// Hash of the id of the process.
+    pub server: u64,
+    /// Start time of the latest process that is covered, in milliseconds since the Unix epoch.
+    #[serde(rename = "started")]
+    pub started_ms: u64,
+    /// Time at which the daemon learnt of the departure.
+    pub at: Millis,
+}
+
 /// Announced backend server.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServerInfo {
--- a/crates/protocol/src/relay.rs
+++ b/crates/protocol/src/relay.rs
@@ -4,7 +4,7 @@
 //! with its own clock, because the clocks of two instances may differ. The receiver counts from
 //! the moment of receipt.
 
-use crate::member::Member;
+use crate::member::{Departure, Member};
 use crate::message::{Exchange, ExchangeReply, Strike};
 use rf_base::{
     AttemptId, ConfigVersion, Incarnation, InstanceId, Millis, OrganisationId, RequestRate,
@@ -366,10 +366,10 @@
     /// Newest era of the store that the sender knows; `None` before it heard of the store.
     #[serde(default)]
     pub store_era: Option<u64>,
-    /// Fingerprint of the process that left the backend server beside the receiver, if the receiver
-    /// does not seem to know that: its proxy may have restarted since.
+    /// Last process that left the backend server beside the receiver, if the receiver does not seem
+    /// to know that: its proxy may have restarted since.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub departed: Option<u64>,
+    pub departed: Option<Departure>,
 }
 
 /// Request for tokens of the quotas of organisations, sent to the proxy that owns them.
--- a/crates/proxy/src/control/driver.rs
+++ b/crates/proxy/src/control/driver.rs
@@ -123,7 +123,9 @@
             Action::PublishStrikes(strikes) => self.shared.strikes.store(Arc::new(*strikes)),
             Action::StoreRestored(era) => self.shared.store_era.store(era, Ordering::Relaxed),
             Action::RecordState(rollout, state) => self.record(*rollout, state),
-            Action::ServerDeparted(process) => local::adopt_departure(&self.shared, process),
+            Action::ServerDeparted(departure) => {
+                local::adopt_departure(&self.shared, &departure, "proxy");
+            }
             Action::Readmit(instance) => self.shared.placement().readmit(instance),
         }
     }
--- a/crates/proxy/src/control/event.rs
+++ b/crates/proxy/src/control/event.rs
@@ -7,7 +7,7 @@
 use rf_config::{Rollout, RolloutState, RouteTable};
 use rf_membership::ExchangeTarget;
 use rf_protocol::relay::{GossipUpdate, RelayReply, RelayRequest, TrialReport};
-use rf_protocol::{Exchange, ExchangeReply, Member, Strike};
+use rf_protocol::{Departure, Exchange, ExchangeReply, Member, Strike};
 use rf_traffic::{LocalServer, StrikeTable};
 
 /// Channel for the answer to a gossip exchange.
@@ -29,8 +29,8 @@
     /// A message was answered, or failed (`None`).
     Replied(ExchangeTarget, MessageKind, Option<RelayReply>),
     /// The local backend server became available, changed, or left (`None`); carries the last
-    /// process that left as well.
-    ServerChanged(Option<LocalServer>, Option<u64>),
+    /// departure as well.
+    ServerChanged(Option<LocalServer>, Option<Departure>),
     /// The local backend server crashed while it ran a request.
     ServerCrashed(Strike),
     /// A request that was suspected of crashing backend servers succeeded; carries its fingerprint.
@@ -75,8 +75,8 @@
     Follow(Topic, bool),
     /// The store was restored from a backup; carries its new era.
     StoreRestored(u64),
-    /// Another proxy knows that this process has left the local backend server.
-    ServerDeparted(u64),
+    /// Another proxy knows of this departure from the local backend server.
+    ServerDeparted(Departure),
     /// A newer route table became active.
     TableAdopted(std::sync::Arc<RouteTable>),
 }
--- a/crates/proxy/src/control/machine.rs
+++ b/crates/proxy/src/control/machine.rs
@@ -389,8 +389,8 @@
         let last_answer = Millis(now.0.saturating_sub(gossip.store_age.0));
         self.store_answered = self.store_answered.max(last_answer);
         self.update_era(now, gossip.store_era, actions);
-        if let Some(process) = gossip.departed {
-            actions.push(Action::ServerDeparted(process));
+        if let Some(departure) = gossip.departed {
+            actions.push(Action::ServerDeparted(departure));
         }
         if changed {
             self.membership.schedule_exchanges(now);
--- a/crates/proxy/src/control/machine/description.rs
+++ b/crates/proxy/src/control/machine/description.rs
@@ -4,8 +4,8 @@
 use crate::control::event::{Action, MessageKind};
 use rf_base::{InstanceId, Millis};
 use rf_membership::ExchangeTarget;
-use rf_protocol::ServerInfo;
 use rf_protocol::relay::RelayRequest;
+use rf_protocol::{Departure, ServerInfo};
 use rf_traffic::LocalServer;
 
 impl Control {
@@ -13,7 +13,7 @@
         &mut self,
         now: Millis,
         local: Option<&LocalServer>,
-        departed: Option<u64>,
+        departed: Option<Departure>,
         actions: &mut Vec<Action>,
     ) {
         let server = local.map(|s| ServerInfo {
@@ -52,12 +52,13 @@
         }
     }
 
-    /// Returns the process that left the server beside `id`, if the proxy there does not say so
+    /// Returns the last departure from the server beside `id`, if the proxy there does not name it
     /// itself.
-    pub(super) fn forgotten_departure(&self, id: InstanceId) -> Option<u64> {
+    pub(super) fn forgotten_departure(&self, id: InstanceId) -> Option<Departure> {
         let roster = self.membership.roster();
         let departed = roster.departed(id)?;
-        let is_known = roster.get(id).is_some_and(|m| m.departed.is_some());
-        (!is_known).then_some(departed)
+        let named = roster.get(id).and_then(|m| m.departed);
+        let is_named = named.is_some_and(|d| d.process == departed.process);
+        (!is_named).then_some(departed)
     }
 }
--- a/crates/proxy/src/control/machine/views.rs
+++ b/crates/proxy/src/control/machine/views.rs
@@ -44,7 +44,7 @@
         let mut by_service: BTreeMap<&ServiceName, Vec<ServerTarget>> = BTreeMap::new();
         for member in roster.reachable().filter(|m| !m.leaving) {
             if let Some(server) = &member.server {
-                let departed = self.forgotten_departure(member.id);
+                let departed = self.forgotten_departure(member.id).map(|d| d.process);
                 let target = to_target(member, server, member.zone == me.zone, departed);
                 by_service.entry(&server.service).or_default().push(target);
             }
--- a/crates/proxy/src/local.rs
+++ b/crates/proxy/src/local.rs
@@ -4,6 +4,7 @@
 use crate::gate::SlotPermit;
 use crate::shared::Shared;
 use rf_base::RequestRate;
+use rf_protocol::Departure;
 use rf_protocol::relay::AttemptRequest;
 use rf_traffic::local_server::{Change, LocalServerState};
 use rf_traffic::{ConditionChange, StatedLimit, StatedLoad, Statement};
@@ -32,7 +33,8 @@
         }
         (Change::Closed, _) => {
             shared.gate.close();
-            info!(event = "gate.closed", process = state.departed(), uptime);
+            let process = state.departed().map(|d| d.process);
+            info!(event = "gate.closed", process, uptime);
         }
         (Change::Departed, _) => {}
         _ => return,
@@ -45,12 +47,13 @@
     shared.send_event(Event::ServerChanged(server, state.departed()));
 }
 
-/// Applies that other proxies know that `process` has left, which this proxy may have forgotten in a
-/// restart.
-pub fn adopt_departure<D>(shared: &Shared<D>, process: u64) {
+/// Applies a departure that the store or another proxy remembers (`from`), and that this proxy may
+/// have forgotten in a restart.
+pub fn adopt_departure<D>(shared: &Shared<D>, departure: &Departure, from: &str) {
     let mut state = shared.local_server();
-    let change = state.leave(process);
-    info!(event = "server.departed", process, from = "proxy", ?change);
+    let change = state.adopt(shared.now(), departure);
+    let process = departure.process;
+    info!(event = "server.departed", process, from, ?change);
     apply(shared, &state, change);
 }
 
@@ -106,7 +109,7 @@
     }
     if change.is_leaving {
         let mut state = shared.local_server();
-        let closed = state.leave(process);
+        let closed = state.leave(shared.now(), process);
         info!(event = "server.leaving", request, process, from, change = ?closed);
         shared.metrics.count_statement("leaving");
         apply(shared, &state, closed);
--- a/crates/proxy/tests/control.rs
+++ b/crates/proxy/tests/control.rs
@@ -5,7 +5,7 @@
 use rf_config::{Revision, Rollout, RolloutState, RouteTable};
 use rf_membership::ExchangeTarget;
 use rf_protocol::relay::{GossipUpdate, RelayReply, RolloutUpdate};
-use rf_protocol::{Exchange, ExchangeReply, Member, Strike};
+use rf_protocol::{Departure, Exchange, ExchangeReply, Member, Strike};
 use rf_proxy::control::event::MessageKind;
 use rf_proxy::control::machine::ControlSettings;
 use rf_proxy::control::rollouts::{RolloutTracker, VersionRule};
@@ -430,8 +430,17 @@
     assert!(restored_eras(control.handle(at(3), Event::StoreAnswered(2))).is_empty());
 }
 
-/// Returns the process that the proxy tells `receiver` to have left the server beside it.
-fn departure_told(control: &mut Control, now: Millis, receiver: &Member) -> Option<u64> {
+fn departure(process: u64) -> Departure {
+    Departure {
+        process,
+        server: 7,
+        started_ms: 1000,
+        at: Millis(5000),
+    }
+}
+
+/// Returns the departure that the proxy tells `receiver` to have left the server beside it.
+fn departure_told(control: &mut Control, now: Millis, receiver: &Member) -> Option<Departure> {
     let (sender, receiver_end) = async_channel::bounded(1);
     let exchange = Exchange {
         from: receiver.id,
@@ -452,10 +461,10 @@
 // a late heartbeat would bring requests to a server that has left.
 #[test]
 fn a_restarted_proxy_is_told_that_its_server_left() {
-    const LEFT: u64 = 77;
+    let left = departure(77);
     let mut control = control();
     let departed = Member {
-        departed: Some(LEFT),
+        departed: Some(left),
         ..member(2)
     };
     control.handle(at(0), Event::MemberDescribed(Box::new(departed.clone())));
@@ -468,9 +477,9 @@
         incarnation: Incarnation(2),
         ..member(2)
     };
-    assert_eq!(departure_told(&mut control, at(20), &restarted), Some(LEFT));
+    assert_eq!(departure_told(&mut control, at(20), &restarted), Some(left));
     let informed = Member {
-        departed: Some(LEFT),
+        departed: Some(left),
         seq: 2,
         ..restarted
     };
@@ -483,12 +492,12 @@
 fn a_departure_told_by_a_neighbour_reaches_the_local_server() {
     let mut control = control();
     let gossip = GossipUpdate {
-        departed: Some(77),
+        departed: Some(departure(77)),
         ..GossipUpdate::default()
     };
     let reply = RelayReply::Exchange(Box::default(), Box::new(gossip));
     let replied = Event::Replied(neighbour(2), MessageKind::Exchange, Some(reply));
     let actions = control.handle(at(0), replied);
-    let is_told = |action: &Action| matches!(action, Action::ServerDeparted(77));
+    let is_told = |action: &Action| matches!(action, Action::ServerDeparted(d) if d.process == 77);
     assert!(actions.iter().any(is_told));
 }
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod chain;
 pub mod cold;
 pub mod condition;
+mod departed;
 pub mod error;
 pub mod fair_share;
 pub mod hedging;
--- a/crates/traffic/src/local_server.rs
+++ b/crates/traffic/src/local_server.rs
@@ -1,15 +1,18 @@
 //! State of the backend server beside a daemon, as the server announces it.
 //!
 //! Announcements can arrive late, twice, out of order, or from a process that has ended. They are
-//! ordered by the start time of the process and then by sequence number. A withdrawal is final for
-//! its process: no announcement with the same start time makes the daemon send requests again. The
-//! same holds for a process that says in its answers that it leaves.
+//! ordered by the start time of the process and then by sequence number. Start times can mislead,
+//! because the clock of an instance can be set back: a process that keeps announcing itself while
+//! the one in use is silent replaces it, whatever their start times.
 //!
-//! A daemon that restarts has forgotten that a process left, so the other daemons tell it
-//! ([`LocalServerState::leave`]).
+//! That a server drains, withdraws or says in its answers that it leaves is obeyed in any order. It
+//! is final for its process: no announcement with the same id and start time makes the daemon send
+//! requests again. A daemon that restarts has forgotten that a process left, so it learns that from
+//! the store or the other daemons ([`LocalServerState::adopt`]) before it uses a server.
 
-use rf_base::ids::hash_key;
+use crate::departed::{Departed, departure_of, process_of};
 use rf_base::{Millis, ServiceName, VersionName};
+use rf_protocol::Departure;
 use std::net::SocketAddr;
 
 /// Announcement that a backend server sends about itself.
@@ -62,10 +65,6 @@
     }
 }
 
-fn process_of(id: &str, started_ms: u64) -> u64 {
-    hash_key(format!("{id} {started_ms}").as_bytes())
-}
-
 /// Reason why an announcement or a withdrawal was ignored.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ignored {
@@ -73,13 +72,17 @@
     Foreign,
     /// It is older than the newest known announcement.
     Stale,
-    /// Its process has withdrawn.
+    /// Its process has left.
     Departed,
+    /// It is not known yet whether its process has left.
+    Unconfirmed,
 }
 
-/// Time after a withdrawal within which heartbeats that were sent before it may still arrive. The
-/// network partitions that users see last about ten seconds.
-const LATE_HEARTBEAT: Millis = Millis::from_secs(60);
+/// Time without an announcement after which another process may replace the one in use, though it
+/// seems to have started earlier. It is some times the interval of the announcements.
+const MAX_SILENCE: Millis = Millis(3000);
+/// Announcements that such a process must have made meanwhile.
+const MIN_CHALLENGES: u32 = 2;
 
 /// Longest time by which the clock may have been set back since a backend server started. A start
 /// time further in the future is implausible.
@@ -104,18 +107,39 @@
     Ignored(Ignored),
 }
 
+/// Process that has announced itself.
+#[derive(Clone, Debug)]
+struct Known {
+    id: String,
+    /// Start time by which it is ordered.
+    started_ms: u64,
+    process: u64,
+    /// Highest sequence number.
+    seq: u64,
+    /// Time of the last announcement.
+    at: Millis,
+}
+
+/// Process that is not in use and announces itself while the one in use is silent.
+#[derive(Clone, Copy, Debug)]
+struct Challenger {
+    process: u64,
+    seq: u64,
+    announcements: u32,
+}
+
 /// Tracks the backend server beside a daemon.
 #[derive(Clone, Debug)]
 pub struct LocalServerState {
     address: SocketAddr,
     service: ServiceName,
-    /// Start time, sequence number and process id of the newest announcement.
-    newest: Option<(u64, u64, String)>,
-    has_departed: bool,
-    /// Fingerprint of the last process that left.
-    departed: Option<u64>,
-    /// Process that withdrew without a known start time, with the time of the withdrawal.
-    withdrawn: Option<(String, Millis)>,
+    newest: Option<Known>,
+    challenger: Option<Challenger>,
+    /// Process that was the newest until one replaced it that seems to have started earlier.
+    displaced: Option<Known>,
+    departed: Departed,
+    /// Whether it is unknown which process has left.
+    is_unconfirmed: bool,
     server: Option<LocalServer>,
 }
 
@@ -126,9 +150,10 @@
             address,
             service,
             newest: None,
-            has_departed: false,
-            departed: None,
-            withdrawn: None,
+            challenger: None,
+            displaced: None,
+            departed: Departed::default(),
+            is_unconfirmed: false,
             server: None,
         }
     }
@@ -138,41 +163,116 @@
         self.server.as_ref()
     }
 
-    /// Returns the fingerprint of the last process that left, if it is known.
-    pub fn departed(&self) -> Option<u64> {
-        self.departed
+    /// Returns the last departure, if there was one.
+    pub fn departed(&self) -> Option<Departure> {
+        self.departed.last()
+    }
+
+    /// Returns the last departure of a process with the given id, if it is known.
+    pub fn departure(&self, id: &str) -> Option<Departure> {
+        self.departed.find(id)
+    }
+
+    /// Uses no server until [`LocalServerState::confirm`], because an earlier daemon may have known
+    /// that it has left.
+    pub fn hold(&mut self) {
+        self.is_unconfirmed = true;
+    }
+
+    /// Returns whether no server is used, because it is unknown which process has left.
+    pub fn is_held(&self) -> bool {
+        self.is_unconfirmed
+    }
+
+    /// Ends the effect of [`LocalServerState::hold`]: all is known that is to be known.
+    pub fn confirm(&mut self) {
+        self.is_unconfirmed = false;
     }
 
     /// Applies an announcement that arrived at `now`.
     pub fn announce(&mut self, now: Millis, announcement: &Announcement) -> Change {
-        if announcement.address != self.address || announcement.service != self.service {
+        let Announcement {
+            id,
+            started_ms,
+            seq,
+            ..
+        } = announcement;
+        let is_foreign =
+            announcement.address != self.address || announcement.service != self.service;
+        if is_foreign && (announcement.is_ready || !self.knows(id)) {
             return Change::Ignored(Ignored::Foreign);
         }
-        let process = process_of(&announcement.id, announcement.started_ms);
-        if self.is_withdrawn(now, announcement) {
-            return Change::Ignored(Ignored::Departed);
+        if !announcement.is_ready {
+            return self.depart(now, id, Some(*started_ms), Some(*seq));
         }
-        let started = rank(now, announcement.started_ms);
-        if let Some((started_ms, seq, id)) = &self.newest {
-            let is_same = *id == announcement.id && *started_ms == started;
-            if started < *started_ms || (is_same && announcement.seq <= *seq) {
-                return Change::Ignored(Ignored::Stale);
-            }
-            if is_same && self.has_departed {
-                return Change::Ignored(Ignored::Departed);
-            }
-            if !is_same {
-                self.has_departed = false;
-            }
+        let process = process_of(id, *started_ms);
+        let is_late = |newest: &Known| newest.process == process && *seq <= newest.seq;
+        if self.newest.as_ref().is_some_and(is_late) {
+            return Change::Ignored(Ignored::Stale);
         }
-        if self.departed == Some(process) {
+        if self.departed.covers(now, id, *started_ms) {
             return Change::Ignored(Ignored::Departed);
         }
-        self.newest = Some((started, announcement.seq, announcement.id.clone()));
-        match announcement.is_ready {
-            true => self.open(now, announcement),
-            false => self.close(Some(process)),
+        if self.is_unconfirmed {
+            return Change::Ignored(Ignored::Unconfirmed);
+        }
+        let known = Known {
+            id: id.clone(),
+            started_ms: rank(now, *started_ms),
+            process,
+            seq: *seq,
+            at: now,
+        };
+        if !self.replaces_newest(&known) {
+            return Change::Ignored(Ignored::Stale);
+        }
+        self.challenger = None;
+        self.newest = Some(known);
+        self.open(now, announcement)
+    }
+
+    /// Returns whether the newest process or the one in use has the given id.
+    fn knows(&self, id: &str) -> bool {
+        let is_newest = self.newest.as_ref().is_some_and(|n| n.id == id);
+        is_newest || self.server.as_ref().is_some_and(|s| s.id == id)
+    }
+
+    /// Returns whether the process that announced itself is the newest one.
+    fn replaces_newest(&mut self, known: &Known) -> bool {
+        let was_displaced = self
+            .displaced
+            .as_ref()
+            .is_some_and(|d| d.process == known.process);
+        let Some(newest) = &self.newest else {
+            let challenges = self.count_challenge(known.process, known.seq);
+            return !was_displaced || challenges >= MIN_CHALLENGES;
+        };
+        let is_later = known.started_ms >= newest.started_ms;
+        if newest.process == known.process || (is_later && !was_displaced) {
+            return true;
+        }
+        let is_silent = known.at.since(newest.at) >= MAX_SILENCE;
+        let challenges = self.count_challenge(known.process, known.seq);
+        let replaces = is_silent && challenges >= MIN_CHALLENGES;
+        if replaces {
+            self.displaced = self.newest.take();
         }
+        replaces
+    }
+
+    /// Counts the announcements of `process` since the last one of the newest process.
+    fn count_challenge(&mut self, process: u64, seq: u64) -> u32 {
+        let before = self.challenger.filter(|c| c.process == process);
+        let challenger = match before {
+            Some(known) if seq <= known.seq => known,
+            known => Challenger {
+                process,
+                seq,
+                announcements: known.map_or(0, |k| k.announcements) + 1,
+            },
+        };
+        self.challenger = Some(challenger);
+        challenger.announcements
     }
 
     fn open(&mut self, now: Millis, announcement: &Announcement) -> Change {
@@ -203,69 +303,105 @@
     /// Applies the withdrawal of the process `id`; `started_ms` is the start time of the process if
     /// the withdrawal names it.
     pub fn withdraw(&mut self, now: Millis, id: &str, started_ms: Option<u64>) -> Change {
+        self.depart(now, id, started_ms, None)
+    }
+
+    /// Applies that the process `id` drains or withdraws. `seq` is the sequence number of the
+    /// announcement that says so.
+    fn depart(
+        &mut self,
+        now: Millis,
+        id: &str,
+        started_ms: Option<u64>,
+        seq: Option<u64>,
+    ) -> Change {
         let started_ms = started_ms.filter(|started| is_plausible(now, *started));
-        match &self.newest {
-            Some((newest, _, known)) if known == id => {
-                if started_ms.is_some_and(|started| started < *newest) {
-                    return Change::Ignored(Ignored::Stale);
-                }
-                self.close(None)
-            }
-            Some((newest, ..)) if started_ms.is_none_or(|started| started <= *newest) => {
-                Change::Ignored(Ignored::Stale)
-            }
-            _ => {
-                if started_ms.is_none() {
-                    self.withdrawn = Some((id.to_owned(), now));
-                }
-                self.newest = Some((started_ms.unwrap_or(0), u64::MAX, id.to_owned()));
-                self.close(started_ms.map(|started| process_of(id, started)))
+        let process = started_ms.map(|started| process_of(id, started));
+        let seems_earlier = |newest: &Known| match started_ms {
+            Some(started) => started < newest.started_ms,
+            None => newest.id != id,
+        };
+        let is_earlier = self.newest.as_ref().is_some_and(seems_earlier);
+        let newest = match self.newest.take() {
+            Some(other) if is_earlier && other.id != id => {
+                self.newest = Some(other);
+                let departure = departure_of(now, id, started_ms.unwrap_or(now.0));
+                self.departed.remember(departure);
+                return Change::Ignored(Ignored::Stale);
             }
+            newest => newest.filter(|n| n.id == id),
+        };
+        let challenges = match (process, seq) {
+            (Some(process), Some(seq)) => self.count_challenge(process, seq),
+            _ => 0,
+        };
+        let known = newest.as_ref().map(|n| (n.process, n.started_ms));
+        let seq = seq.or(newest.as_ref().map(|n| n.seq));
+        let mut covered = started_ms;
+        if is_earlier {
+            // Either a message of an earlier process is late, or a later process has an earlier
+            // start time. The newest one must announce itself anew.
+            self.displaced = newest;
+        } else {
+            covered = covered.max(known.map(|(_, started)| started));
+            self.newest = Some(Known {
+                id: id.to_owned(),
+                started_ms: covered.unwrap_or(0),
+                process: process.or(known.map(|(process, _)| process)).unwrap_or(0),
+                seq: seq.unwrap_or(u64::MAX),
+                at: now,
+            });
+        }
+        let has_replaced = process.is_some() && process == known.map(|(process, _)| process);
+        let is_alone = has_replaced || challenges >= MIN_CHALLENGES;
+        if let Some(displaced) = self.displaced.as_ref().filter(|d| d.id == id && is_alone) {
+            covered = covered.max(Some(displaced.started_ms));
         }
+        let departure = departure_of(now, id, covered.unwrap_or(now.0));
+        let process = process.or(known.map(|(process, _)| process));
+        self.close(Departure {
+            process: process.unwrap_or(departure.process),
+            ..departure
+        })
     }
 
-    /// Applies that `process` says in its answers that it leaves, or that another daemon knows it
-    /// has left.
-    pub fn leave(&mut self, process: u64) -> Change {
-        match &self.server {
-            Some(server) if server.process() == process => self.close(Some(process)),
-            _ if self.departed.is_none() => self.record_departure(Some(process)),
-            _ => Change::Same,
+    /// Applies that `process` says in its answers that it leaves.
+    pub fn leave(&mut self, now: Millis, process: u64) -> Change {
+        let used = self.server.as_ref().filter(|s| s.process() == process);
+        match used.map(|server| (server.id.clone(), server.started_ms)) {
+            Some((id, started_ms)) => self.depart(now, &id, Some(started_ms), None),
+            None => Change::Same,
         }
     }
 
-    /// Returns whether an announcement was sent before its process withdrew.
-    ///
-    /// A daemon that started in between knows the process only by its withdrawal. A late heartbeat
-    /// of that process would look like a new process with the same id, so only a process that
-    /// started after the withdrawal is accepted.
-    fn is_withdrawn(&self, now: Millis, announcement: &Announcement) -> bool {
-        let withdrawn = self.withdrawn.as_ref();
-        withdrawn.is_some_and(|(id, at)| {
-            *id == announcement.id
-                && announcement.started_ms <= at.0
-                && now.since(*at) < LATE_HEARTBEAT
-        })
+    /// Applies a departure that the store or another daemon remembers.
+    pub fn adopt(&mut self, now: Millis, departure: &Departure) -> Change {
+        let used = self.server.as_ref();
+        let is_used = used.is_some_and(|s| {
+            let departed = Departed::of(*departure);
+            departed.covers(now, &s.id, s.started_ms)
+        });
+        match is_used || self.departed.last().is_none() {
+            true => self.close_if(is_used, *departure),
+            false => {
+                self.departed.remember(*departure);
+                Change::Same
+            }
+        }
     }
 
-    /// Takes the server out of use; `process` is the one that left, if it is not that server.
-    fn close(&mut self, process: Option<u64>) -> Change {
-        self.has_departed = true;
-        let server = self.server.take();
-        let used = server.as_ref().map(LocalServer::process);
-        let change = self.record_departure(process.or(used));
-        match server {
-            Some(_) => Change::Closed,
-            None => change,
-        }
+    /// Records a departure and takes the server out of use.
+    fn close(&mut self, departure: Departure) -> Change {
+        self.close_if(true, departure)
     }
 
-    fn record_departure(&mut self, process: Option<u64>) -> Change {
-        if process.is_none() || process == self.departed {
-            return Change::Same;
+    fn close_if(&mut self, closes: bool, departure: Departure) -> Change {
+        let is_new = self.departed.record(departure);
+        match (closes && self.server.take().is_some(), is_new) {
+            (true, _) => Change::Closed,
+            (false, true) => Change::Departed,
+            (false, false) => Change::Same,
         }
-        self.departed = process;
-        Change::Departed
     }
 }
 
