Acknowledge a departure once it is known outside the process

Callers: a proxy acknowledged that its server leaves and was killed before another proxy knew of it. The same after a kill of all proxies, and for a withdrawal that names a process of which the proxy has had no heartbeat.

Cause: the acknowledgement was sent when the gate was closed, and the other proxies were told afterwards. Nothing made sure that any of them was alive, and the store was not told.

Before the acknowledgement the store now records the departure (status of the proxy's entry) and up to four other proxies confirm that they remember it, at once. Both are waited for, at most 0.4 s; after that one kind of copy is enough. If there is none after 0.85 s the answer is 503, the gate stays closed, and the server repeats the call. A restarted proxy reads the record at its start, and uses no server until the store or another proxy has said who has left, for at most 3 s.

One write for each departure and one read for each start are added to the store's calls.

--- a/crates/protocol/src/relay.rs
+++ b/crates/protocol/src/relay.rs
@@ -436,6 +436,9 @@
     Observe(Box<TrialReport>),
     /// Asks for tokens of the quotas that the receiver owns; answered by [`RelayReply::Quota`].
     Quota(Box<QuotaRequest>),
+    /// Asks the receiver to remember that a process has left the backend server beside this
+    /// instance. The reply says that it does.
+    Departure(InstanceId, Departure),
 }
 
 /// Reply to a [`RelayRequest`].
@@ -453,7 +456,8 @@
     Exchange(Box<ExchangeReply>, Box<GossipUpdate>),
     /// Reply to [`RelayRequest::Fetch`]; `None` if the replier has no newer route table.
     Table(Option<Box<TablePatch>>),
-    /// Acknowledges [`RelayRequest::Member`] or [`RelayRequest::Observe`].
+    /// Acknowledges [`RelayRequest::Member`], [`RelayRequest::Observe`] or
+    /// [`RelayRequest::Departure`].
     Done,
     /// Reply to [`RelayRequest::Quota`].
     Quota(Box<QuotaReply>),
--- a/crates/proxy/src/admin.rs
+++ b/crates/proxy/src/admin.rs
@@ -5,8 +5,9 @@
 use crate::local;
 use crate::shared::Shared;
 use async_std::net::TcpListener;
-use rf_traffic::LocalServerState;
+use rf_protocol::Departure;
 use rf_traffic::local_server::Change;
+use rf_traffic::{Announcement, LocalServerState};
 use rf_transport::h1::{Connection, ReadLimits, ResponseHead, frame_request};
 use std::sync::Arc;
 use tracing::{debug, info, warn};
@@ -40,7 +41,7 @@
             return;
         };
         let call = shared.dialect.read_admin_call(&head, &body);
-        let (status, body) = answer(&shared, call);
+        let (status, body) = answer(&shared, call).await;
         let mut response = ResponseHead::new(status);
         if !body.is_empty() {
             response.headers.add("Content-Type", "text/plain");
@@ -53,7 +54,7 @@
     }
 }
 
-fn answer<D: Dialect>(shared: &Shared<D>, call: AdminCall) -> (u16, Vec<u8>) {
+async fn answer<D: Dialect>(shared: &Shared<D>, call: AdminCall) -> (u16, Vec<u8>) {
     match call {
         AdminCall::Readiness => (readiness(shared), Vec::new()),
         AdminCall::Metrics => {
@@ -61,35 +62,12 @@
             (200, shared.metrics.encode())
         }
         AdminCall::Announce(announcement) => {
-            let mut server_state = shared.local_server();
-            let change = server_state.announce(shared.now(), &announcement);
-            local::apply(shared, &server_state, change);
-            let (id, seq, started_ms) =
-                (&announcement.id, announcement.seq, announcement.started_ms);
-            let is_ready = announcement.is_ready;
-            match change {
-                Change::Same => debug!(event = "server.announced", id, seq),
-                change => info!(
-                    event = "server.announced",
-                    id,
-                    seq,
-                    born = started_ms,
-                    is_ready,
-                    ?change
-                ),
-            }
-            if !is_ready {
-                report_departure(shared, &server_state, "draining", id, change);
-            }
-            (200, Vec::new())
+            let departure = announce(shared, &announcement);
+            (acknowledge(shared, departure).await, Vec::new())
         }
         AdminCall::Withdraw { id, started_at } => {
-            let mut server_state = shared.local_server();
-            let change = server_state.withdraw(shared.now(), &id, started_at);
-            local::apply(shared, &server_state, change);
-            info!(event = "server.withdrawn", id, born = started_at, ?change);
-            report_departure(shared, &server_state, "withdrawal", &id, change);
-            (200, Vec::new())
+            let departure = withdraw(shared, &id, started_at);
+            (acknowledge(shared, departure).await, Vec::new())
         }
         AdminCall::Malformed(message) => {
             count_announcement(shared, "malformed");
@@ -100,15 +78,48 @@
     }
 }
 
+/// Applies an announcement; returns the departure of the server if it says that it drains.
+fn announce<D>(shared: &Shared<D>, announcement: &Announcement) -> Option<Departure> {
+    let mut server_state = shared.local_server();
+    let change = server_state.announce(shared.now(), announcement);
+    local::apply(shared, &server_state, change);
+    let (id, seq, started_ms) = (&announcement.id, announcement.seq, announcement.started_ms);
+    let is_ready = announcement.is_ready;
+    match change {
+        Change::Same => debug!(event = "server.announced", id, seq),
+        change => info!(
+            event = "server.announced",
+            id,
+            seq,
+            born = started_ms,
+            is_ready,
+            ?change
+        ),
+    }
+    match is_ready {
+        true => None,
+        false => report_departure(shared, &server_state, "draining", id, change),
+    }
+}
+
+/// Applies a withdrawal; returns the departure of the server.
+fn withdraw<D>(shared: &Shared<D>, id: &str, started_at: Option<u64>) -> Option<Departure> {
+    let mut server_state = shared.local_server();
+    let change = server_state.withdraw(shared.now(), id, started_at);
+    local::apply(shared, &server_state, change);
+    info!(event = "server.withdrawn", id, born = started_at, ?change);
+    report_departure(shared, &server_state, "withdrawal", id, change)
+}
+
 /// Counts a call by which the server `id` says that it leaves, and warns if the gate stays open for
-/// that id.
+/// that id. Returns the departure that is to be kept.
 fn report_departure<D>(
     shared: &Shared<D>,
     server_state: &LocalServerState,
     call: &str,
     id: &str,
     change: Change,
-) {
+) -> Option<Departure> {
     let in_use = server_state.server().filter(|s| s.id == id);
     let result = match (in_use, change) {
         (Some(_), _) => "not-applied",
@@ -128,6 +139,21 @@
             ?change
         );
     }
+    let is_applied = result == "applied";
+    server_state.departure(id).filter(|_| is_applied)
+}
+
+/// Returns the status of the answer to a call of the backend server. A departure is acknowledged once
+/// it is known outside this process.
+async fn acknowledge<D>(shared: &Shared<D>, departure: Option<Departure>) -> u16 {
+    let Some(departure) = departure else {
+        return 200;
+    };
+    let _guard = shared.count_call();
+    match shared.departures.copy(departure).await {
+        true => 200,
+        false => 503,
+    }
 }
 
 fn readiness<D>(shared: &Shared<D>) -> u16 {
--- a/crates/proxy/src/control/driver.rs
+++ b/crates/proxy/src/control/driver.rs
@@ -13,7 +13,7 @@
 use rf_base::Millis;
 use rf_config::{Rollout, RolloutState};
 use rf_membership::ExchangeTarget;
-use rf_protocol::relay::{RelayRequest, TrialReport};
+use rf_protocol::relay::{RelayReply, RelayRequest, TrialReport};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -72,9 +72,17 @@
                 }
             };
             let now = self.shared.now();
+            // The reply of a proxy carries what it remembers of the local backend server.
+            let is_reply = matches!(
+                event,
+                Event::Replied(_, MessageKind::Exchange, Some(RelayReply::Exchange(..)))
+            );
             for action in control.handle(now, event) {
                 self.execute(action);
             }
+            if is_reply {
+                local::confirm_departures(&self.shared, "proxy");
+            }
             if now >= next_prune {
                 next_prune = now + PRUNE_INTERVAL;
                 self.shared.peer_pool.prune();
@@ -126,6 +134,11 @@
             Action::ServerDeparted(departure) => {
                 local::adopt_departure(&self.shared, &departure, "proxy");
             }
+            Action::Remembered(sender) => {
+                if sender.try_send(()).is_err() {
+                    debug!(event = "departure.abandoned");
+                }
+            }
             Action::Readmit(instance) => self.shared.placement().readmit(instance),
         }
     }
--- a/crates/proxy/src/control/event.rs
+++ b/crates/proxy/src/control/event.rs
@@ -31,6 +31,9 @@
     /// The local backend server became available, changed, or left (`None`); carries the last
     /// departure as well.
     ServerChanged(Option<LocalServer>, Option<Departure>),
+    /// Another proxy asks to remember the departure from the backend server beside an instance;
+    /// carries the channel for the confirmation.
+    DepartureTold(InstanceId, Departure, Sender<()>),
     /// The local backend server crashed while it ran a request.
     ServerCrashed(Strike),
     /// A request that was suspected of crashing backend servers succeeded; carries its fingerprint.
@@ -77,6 +80,8 @@
     StoreRestored(u64),
     /// Another proxy knows of this departure from the local backend server.
     ServerDeparted(Departure),
+    /// Confirm that a departure from another backend server is remembered.
+    Remembered(Sender<()>),
     /// A newer route table became active.
     TableAdopted(std::sync::Arc<RouteTable>),
 }
--- a/crates/proxy/src/control/machine.rs
+++ b/crates/proxy/src/control/machine.rs
@@ -173,6 +173,10 @@
             Event::ServerChanged(server, departed) => {
                 self.describe_server(now, server.as_ref(), departed, &mut actions);
             }
+            Event::DepartureTold(instance, departure, sender) => {
+                self.membership.remember_departure(instance, departure);
+                actions.push(Action::Remembered(sender));
+            }
             Event::ServerCrashed(strike) => self.merge_strike(now, &strike, &mut actions),
             Event::StrikesCleared(fingerprint) => {
                 self.clear_strikes(now, fingerprint, &mut actions)
--- a/crates/proxy/src/control/sync.rs
+++ b/crates/proxy/src/control/sync.rs
@@ -6,6 +6,7 @@
 //! topics are read again and the entry is written again.
 
 use super::event::Event;
+use crate::departures;
 use crate::shared::Shared;
 use crate::source::{
     ProxyEntries, ProxyEntry, Result, Revision, Snapshot, Source, SourceError, Topic,
@@ -218,6 +219,11 @@
             if newest > era {
                 task::sleep(self.shared.jitter(REWRITE_SPREAD).duration()).await;
                 era = self.register(entry, true).await.max(newest);
+                let departed = self.shared.local_server().departed();
+                if let Some(departure) = departed {
+                    let written = departures::write(&self.source, entry, &departure).await;
+                    self.count("record-departure", &written);
+                }
                 info!(event = "entry.rewritten", era);
             }
             let is_alone = self.shared.view.load().proxies <= 1;
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod authentication;
 pub mod compression;
 pub mod control;
+pub mod departures;
 pub mod dialect;
 pub mod dispatch;
 pub mod gate;
--- a/crates/proxy/src/local.rs
+++ b/crates/proxy/src/local.rs
@@ -57,6 +57,17 @@
     apply(shared, &state, change);
 }
 
+/// Lets the backend server be used, because the departures that this proxy may have forgotten in a
+/// restart are known from the store or another proxy (`from`).
+pub fn confirm_departures<D>(shared: &Shared<D>, from: &str) {
+    let mut state = shared.local_server();
+    if state.is_held() {
+        state.confirm();
+        let uptime = shared.now().since(shared.started).0;
+        info!(event = "departures.known", from, uptime);
+    }
+}
+
 /// Applies what the backend server says about itself in the answer to `attempt`.
 pub fn observe_statement<D>(
     shared: &Shared<D>,
@@ -113,6 +124,9 @@
         info!(event = "server.leaving", request, process, from, change = ?closed);
         shared.metrics.count_statement("leaving");
         apply(shared, &state, closed);
+        if let Some(departure) = state.departed().filter(|d| d.process == process) {
+            shared.departures.copy_later(departure);
+        }
     }
 }
 
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -114,6 +114,12 @@
             shared.send_event(Event::MemberDescribed(member));
             RelayReply::Done
         }
+        RelayRequest::Departure(instance, departure) => {
+            let (sender, receiver) = bounded(1);
+            shared.send_event(Event::DepartureTold(instance, departure, sender));
+            receiver.recv().await.ok()?;
+            RelayReply::Done
+        }
         RelayRequest::Observe(trial) => {
             shared.send_event(Event::TrialObserved(trial));
             RelayReply::Done
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -7,15 +7,17 @@
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
 use crate::shared::Shared;
-use crate::source::{ProxyEntries, ProxyEntry, Source};
-use crate::{admin, ingress, peers};
+use crate::source::{self, ProxyEntries, ProxyEntry, Source, SourceError};
+use crate::{admin, departures, ingress, peers};
 use async_channel::{Sender, bounded};
 use async_std::future::timeout;
 use async_std::net::TcpListener;
 use async_std::task;
+use futures_lite::future::zip;
 use rf_base::ids::hash_key;
 use rf_base::{Clock, Incarnation, InstanceId, Millis, SeededRandom};
 use rf_config::ProxySettings;
+use rf_protocol::Departure;
 use snafu::{ResultExt, Snafu};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -95,7 +97,7 @@
         let readiness = bind(listen.readiness).await?;
         let announcements = bind(listen.announcements).await?;
         let me = InstanceId::of(&settings.instance);
-        let known = read_entries(&source).await;
+        let (known, departed) = zip(read_entries(&source), read_departure(&source, me)).await;
         let incarnation = choose_incarnation(&known.entries, me, &clock);
         let seed = hash_key(format!("{} {incarnation}", settings.instance).as_bytes());
         let mut random = SeededRandom::new(seed);
@@ -122,6 +124,12 @@
             incarnation,
         );
         let shared = Arc::new(shared);
+        departures::start(&shared, source.clone(), departed);
+        task::spawn(departures::serve(
+            shared.clone(),
+            source.clone(),
+            entry.clone(),
+        ));
         Driver::new(shared.clone(), source.clone(), events.clone())
             .spawn(control, inbox)
             .context(ThreadSnafu)?;
@@ -209,6 +217,18 @@
     }
 }
 
+/// Reads the last departure from the backend server beside this proxy from the store.
+async fn read_departure<S: Source>(
+    source: &S,
+    me: InstanceId,
+) -> source::Result<Option<Departure>> {
+    let reading = timeout(INCARNATION_TIMEOUT.duration(), source.departure(me)).await;
+    reading.unwrap_or_else(|_| {
+        let message = "no answer in time".to_owned();
+        Err(SourceError::Lost { message })
+    })
+}
+
 /// Chooses an incarnation that is later than the recorded one, even if the wall clock was set back
 /// since.
 fn choose_incarnation(entries: &[ProxyEntry], me: InstanceId, clock: &Clock) -> Incarnation {
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -2,6 +2,7 @@
 
 use crate::authentication::OrganisationLabels;
 use crate::control::Event;
+use crate::departures::Departures;
 use crate::gate::{CallEnd, Gate};
 use crate::metrics::Metrics;
 use crate::quota::Quotas;
@@ -68,6 +69,8 @@
     pub followed_topics: FollowedTopics,
     /// Quotas of organisations: borrowed tokens, and the buckets that this proxy owns.
     pub quotas: Quotas,
+    /// Copies of the local backend server's departure outside this process.
+    pub departures: Departures,
     /// Metrics that the process exports.
     pub metrics: Metrics,
     /// Network link of this instance, with the bytes that are reserved on it.
@@ -156,6 +159,7 @@
             }),
             followed_topics: FollowedTopics::default(),
             quotas: Quotas::new(instance_id, clock.now(), fork()),
+            departures: Departures::default(),
             metrics: Metrics::new(),
             receive_scheduler: ReceiveScheduler::new(settings.limits.link),
             send_scheduler: SendScheduler::new(link.clone(), clock.clone()),
@@ -288,6 +292,11 @@
         lock(&self.random).jitter(limit)
     }
 
+    /// Returns a random number below `limit`, which must be positive.
+    pub fn random_below(&self, limit: usize) -> usize {
+        lock(&self.random).below(limit as u64) as usize
+    }
+
     /// Estimates how long ago the caller of a request sent it for the first time, from the time
     /// `left` to its deadline and the times that earlier requests on `route` had left. Returns zero
     /// if that is not known.
--- a/crates/proxy/src/source.rs
+++ b/crates/proxy/src/source.rs
@@ -3,6 +3,7 @@
 use rf_base::{Incarnation, InstanceId, Millis, ZoneName};
 pub use rf_config::Revision;
 use rf_config::{Rollout, RolloutState, RouteTable};
+use rf_protocol::Departure;
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use std::future::Future;
@@ -122,6 +123,20 @@
     /// Reads the entries of all proxies.
     fn entries(&self) -> impl Future<Output = Result<ProxyEntries>> + Send;
 
+    /// Reads the last recorded departure from the backend server beside `instance`. The result
+    /// includes every acknowledged write.
+    fn departure(
+        &self,
+        instance: InstanceId,
+    ) -> impl Future<Output = Result<Option<Departure>>> + Send;
+
+    /// Records a departure from the backend server beside `instance`, whose proxy has an entry.
+    fn record_departure(
+        &self,
+        instance: InstanceId,
+        departure: &Departure,
+    ) -> impl Future<Output = Result<()>> + Send;
+
     /// Writes the state of a rollout, unless its object was changed since it was read.
     fn record(
         &self,
