Pass no request on once a stopping proxy may exit

Cause: the proxy exits when nothing has been active for a while, and nothing kept a request from beginning after the last look. The bound by the time left to a request does not help, since the exit comes before the end of the grace.

The proxy now rejects everything from that moment on and exits only if nothing had begun by then. A request is counted before it is held against the end.

Evidence: no_request_is_passed_on_once_a_stopping_proxy_may_exit sends requests on kept, unused, new and pipelined connections and through another proxy after stop() has returned; it failed before (the request on the kept connection ran) and passes.

--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -184,8 +184,12 @@
             let since = *idle_since.get_or_insert(now);
             let is_idle = busy == 0 && now.since(since) >= STOP_IDLE_TIME;
             if is_idle && now.since(start) >= MIN_STOP_TIME {
-                info!(event = "process.stopped", after = now.since(start).0);
-                return;
+                // Whatever begins from now on is rejected; what has begun just before is awaited.
+                self.shared.stop(Millis::ZERO);
+                if self.shared.active_requests() == 0 {
+                    info!(event = "process.stopped", after = now.since(start).0);
+                    return;
+                }
             }
             if now >= deadline {
                 warn!(event = "process.stopped", busy, after = now.since(start).0);
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -334,13 +334,13 @@
 
     /// Counts a caller's request as open until the guard is dropped.
     pub fn count_call(&self) -> CallGuard<'_> {
-        self.open_calls.fetch_add(1, Ordering::Relaxed);
+        self.open_calls.fetch_add(1, Ordering::SeqCst);
         CallGuard(&self.open_calls)
     }
 
     /// Returns the number of open requests of callers plus that of attempts at the local gate.
     pub fn active_requests(&self) -> usize {
-        self.open_calls.load(Ordering::Relaxed) + self.gate.active_attempts()
+        self.open_calls.load(Ordering::SeqCst) + self.gate.active_attempts()
     }
 
     /// Returns whether the process is stopping.
@@ -350,13 +350,16 @@
 
     /// Returns whether the process ends before `time`.
     pub fn ends_before(&self, time: Millis) -> bool {
-        let end = self.shutdown_at.load(Ordering::Relaxed);
+        let end = self.shutdown_at.load(Ordering::SeqCst);
         end > 0 && end < time.0
     }
 
-    /// Marks the process as stopping; it ends at `end`.
+    /// Marks the process as stopping; it ends at `end`, or at once if that has passed.
+    ///
+    /// A request is counted before it is held against `end`, so one that is not rejected is seen by
+    /// [`Shared::active_requests`] afterwards.
     pub fn stop(&self, end: Millis) {
-        self.shutdown_at.store(end.0.max(1), Ordering::Relaxed);
+        self.shutdown_at.store(end.0.max(1), Ordering::SeqCst);
         self.gate.stop(end);
     }
 }
--- a/crates/proxy/tests/departure.rs
+++ b/crates/proxy/tests/departure.rs
@@ -195,3 +195,47 @@
     let took = start.elapsed().as_millis();
     assert!(took < 4000, "stopped after {took} ms");
 }
+
+// Guards against a request that is passed on between the decision to exit and the exit.
+#[async_std::test]
+async fn no_request_is_passed_on_once_a_stopping_proxy_may_exit() {
+    let mesh = start(47).await;
+    let mut kept = mesh.connect(0).await.expect("a connection");
+    let warm = CallerRequest::read("warm");
+    let answer = mesh.send_on(&mut kept, &warm).await;
+    assert_eq!(answer.expect("an answer").head.status, 200);
+    let unused = mesh.connect(0).await.expect("a connection");
+    let proxy = mesh.instances[0].proxy.as_ref().expect("it runs");
+    proxy.stop().await;
+    let short = |id: &str| CallerRequest {
+        timeout: Millis(50),
+        ..CallerRequest::pay(id)
+    };
+    for (id, mut connection) in [("kept", kept), ("unused", unused)] {
+        mesh.send_on(&mut connection, &short(id)).await.ok();
+        assert_eq!(mesh.runs(id), 0, "on a {id} connection");
+    }
+    mesh.send(0, &short("new")).await.ok();
+    assert_eq!(mesh.runs("new"), 0);
+    // A pipelined request is read while the one before it runs.
+    let mut pipelined = mesh.connect(0).await.expect("a connection");
+    let bytes = [short("first"), short("second")].map(|ask| {
+        encode(&CallerRequest {
+            body: Vec::new(),
+            method: "GET",
+            target: "/read/x".to_owned(),
+            ..ask
+        })
+    });
+    pipelined.write(&bytes.concat()).await.expect("written");
+    read_answer(&mut pipelined, "GET").await.ok();
+    assert_eq!(mesh.runs("first") + mesh.runs("second"), 0);
+    // Other proxies use the server no more either.
+    let before = mesh.instances[0].server.arrivals().len();
+    for number in 0..10 {
+        mesh.send(1, &short(&format!("relayed-{number}")))
+            .await
+            .ok();
+    }
+    assert_eq!(mesh.instances[0].server.arrivals().len(), before);
+}
