Send answers to other proxies before a stopping proxy exits

Callers: a proxy stops while its server's answer to a request of another proxy is on its way over a slow link. The process exits, the other proxy finds nobody to ask what became of the request, and its caller gets 502 for a request that ran.

Cause: a stopping proxy waits for attempts that run or wait, and an attempt whose run has ended is neither, though its reply is still being written.

Attempts of other proxies count as active until their reply is written.

Evidence: a_stopping_proxy_sends_answers_to_other_proxies_before_it_exits (250 KB over 1 Mbit/s) failed before and passes.

--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -191,10 +191,12 @@
         self.lock().queue.fair_yields()
     }
 
-    /// Returns the number of attempts that are waiting or running.
+    /// Returns the number of attempts that are waiting or running, plus that of attempts of other
+    /// proxies that have not been replied to. Some are counted twice.
     pub fn active_attempts(&self) -> usize {
         let inner = self.lock();
-        (inner.queue.running() + inner.queue.waiting()) as usize
+        let queued = inner.queue.running() + inner.queue.waiting();
+        queued as usize + inner.unsent_replies.len()
     }
 
     /// Acquires a slot, waiting for at most the wait limit of the attempt.
--- a/crates/proxy/tests/departure.rs
+++ b/crates/proxy/tests/departure.rs
@@ -3,7 +3,7 @@
 use async_std::task;
 use rf_base::Millis;
 use rf_standin::users::mesh::{CallerRequest, encode, read_answer, wait_until};
-use rf_standin::users::{Mesh, MeshSettings};
+use rf_standin::users::{Mesh, MeshSettings, ServerBehaviour};
 use rf_transport::h1::Connection;
 use std::net::Shutdown;
 use std::time::{Duration, Instant};
@@ -239,3 +239,35 @@
     }
     assert_eq!(mesh.instances[0].server.arrivals().len(), before);
 }
+
+// Guards against a stopping proxy that exits while it sends the answer of its server to another proxy.
+#[async_std::test]
+async fn a_stopping_proxy_sends_answers_to_other_proxies_before_it_exits() {
+    let mut mesh = start(48).await;
+    mesh.set_link(1.0);
+    let slow = mesh.add("payments", "v1").await.expect("it starts");
+    mesh.wait_until_serving().await;
+    // Only the server beside the proxy that stops is left.
+    for instance in &mesh.instances[..slow] {
+        assert_eq!(instance.withdraw().await.ok(), Some(200));
+    }
+    let server = &mesh.instances[slow].server;
+    server.set_behaviour(ServerBehaviour::Long(250_000));
+    let proxy = mesh.instances[slow].proxy.as_ref().expect("it runs");
+    let stopping = async {
+        proxy.stop().await;
+        Instant::now()
+    };
+    let asking = async {
+        task::sleep(Duration::from_millis(500)).await;
+        let ask = CallerRequest {
+            timeout: Millis(2500),
+            ..CallerRequest::read("long")
+        };
+        let answer = mesh.send(0, &ask).await.expect("an answer");
+        assert_eq!((answer.head.status, mesh.runs("long")), (200, 1));
+        Instant::now()
+    };
+    let (stopped, answered) = futures_lite::future::zip(stopping, asking).await;
+    assert!(stopped >= answered, "it may exit before the answer is sent");
+}
--- a/crates/standin/src/users/mesh.rs
+++ b/crates/standin/src/users/mesh.rs
@@ -216,6 +216,12 @@
         Ok(self.instances.len() - 1)
     }
 
+    /// Sets the bandwidth of the links of instances that are added from now on, in megabits per
+    /// second.
+    pub fn set_link(&mut self, link: f64) {
+        self.settings.link = link;
+    }
+
     /// Writes the next version of the configuration with the given virtual hosts to the store and
     /// returns its number.
     pub fn write_table(&mut self, hosts: &Value) -> u64 {
