Let a stopping proxy write its answers up to the end of the grace

Callers: an answer over a slow link is cut when a stopping proxy exits 0.8 s before the end of the grace, though the server gave it in time.

Cause: the time by which requests must have their answers was also the time of the exit, so that nothing was left for writing.

The proxy still takes no request that it may have to hold longer than that, but waits for those that are active until 0.3 s before the end of the grace. Without any it exits as before.

Evidence: a_stopping_proxy_writes_answers_up_to_the_end_of_the_grace (210 KB over 1 Mbit/s) failed before (exit 3.21 s, answer 3.44 s after the signal, grace 4 s) and passes.

--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -40,8 +40,11 @@
 const LEAVE_NOTICE_AFTER: Millis = Millis(1300);
 /// Idle time after which the shutdown is complete.
 const STOP_IDLE_TIME: Millis = Millis(300);
-/// Safety margin before the platform kills the process at the end of the grace period.
+/// Time before the end of the grace period by which every request must have its answer, so that
+/// there is time to write it.
 const STOP_MARGIN: Millis = Millis(800);
+/// Safety margin before the platform kills the process at the end of the grace period.
+const EXIT_MARGIN: Millis = Millis(300);
 /// Interval at which the remaining work is checked during shutdown.
 const STOP_CHECK_INTERVAL: Millis = Millis(50);
 
@@ -168,6 +171,7 @@
         info!(event = "process.stopping", busy);
         let grace = self.shared.settings.load().bounds.grace;
         let deadline = start + grace.since(STOP_MARGIN);
+        let end = start + grace.since(EXIT_MARGIN);
         self.shared.stop(deadline);
         let mut is_announced = false;
         let mut idle_since = None;
@@ -182,8 +186,8 @@
                 idle_since = None;
             }
             let since = *idle_since.get_or_insert(now);
-            let is_idle = busy == 0 && now.since(since) >= STOP_IDLE_TIME;
-            if is_idle && now.since(start) >= MIN_STOP_TIME {
+            let is_idle = now.since(since) >= STOP_IDLE_TIME && now.since(start) >= MIN_STOP_TIME;
+            if busy == 0 && (is_idle || now >= deadline) {
                 // Whatever begins from now on is rejected; what has begun just before is awaited.
                 self.shared.stop(Millis::ZERO);
                 if self.shared.active_requests() == 0 {
@@ -191,7 +195,7 @@
                     return;
                 }
             }
-            if now >= deadline {
+            if now >= end {
                 warn!(event = "process.stopped", busy, after = now.since(start).0);
                 return;
             }
--- a/crates/proxy/tests/departure.rs
+++ b/crates/proxy/tests/departure.rs
@@ -271,3 +271,40 @@
     let (stopped, answered) = futures_lite::future::zip(stopping, asking).await;
     assert!(stopped >= answered, "it may exit before the answer is sent");
 }
+
+// Guards against an answer that is cut because it is still being written when the time for new
+// requests is over.
+#[async_std::test]
+async fn a_stopping_proxy_writes_answers_up_to_the_end_of_the_grace() {
+    let mut mesh = start(49).await;
+    mesh.set_link(1.0);
+    let slow = mesh.add("payments", "v1").await.expect("it starts");
+    mesh.wait_until_serving().await;
+    for instance in &mesh.instances {
+        let server = &instance.server;
+        server.set_behaviour(ServerBehaviour::Long(210_000));
+    }
+    let proxy = mesh.instances[slow].proxy.as_ref().expect("it runs");
+    let stopping = async {
+        proxy.stop().await;
+        Instant::now()
+    };
+    let asking = async {
+        task::sleep(Duration::from_millis(1500)).await;
+        let ask = CallerRequest {
+            timeout: Millis(1500),
+            ..CallerRequest::read("long")
+        };
+        let answer = mesh.send(slow, &ask).await.expect("an answer");
+        assert_eq!((answer.head.status, mesh.runs("long")), (200, 1));
+        Instant::now()
+    };
+    let start = Instant::now();
+    let (stopped, answered) = futures_lite::future::zip(stopping, asking).await;
+    let (stopped, answered) = (stopped - start, answered - start);
+    assert!(
+        stopped >= answered,
+        "exit at {stopped:?}, answer at {answered:?}"
+    );
+    assert!(stopped < Duration::from_millis(4000), "exit at {stopped:?}");
+}
