Answer operators after the daemon's gate has changed

Callers: a backend server withdraws at the daemon's own interface, gets 200, and a call that arrives in that moment is still passed on to it. Found by the search for acknowledgements that are not in force; not seen in a run of processes.

Cause: the control machine pushed the answer before the changes that it published, and the driver executes them in this order while calls arrive on other threads.

Answers to operators come after all other actions of an event.

Evidence: the_gate_changes_before_an_announcement_or_a_withdrawal_is_answered failed before (the answer was the first of three actions) and passes.

--- a/crates/daemon/src/control/machine.rs
+++ b/crates/daemon/src/control/machine.rs
@@ -162,6 +162,8 @@
             Event::Stop => self.stop(now),
         }
         self.publish_changes(now, &mut actions);
+        // What an answer acknowledges is in force before the answer is sent.
+        actions.sort_by_key(|action| matches!(action, Action::AnswerOperator(..)));
         actions
     }
 
