Soak: departures whose proxies end, and servers whose clock was set back

Every schedule gets one or two of them in addition, drawn apart so that the rest of a seed stays as it was: a withdrawal followed at once by a kill of the proxy, of all proxies or a planned stop, with a heartbeat from before that arrives late again and again, and a server that is started again under its id with an earlier start time and drains.

--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -17,6 +17,8 @@
 const BURST_PROBABILITY: f64 = 0.3;
 /// Shortest duration of a fault.
 const MIN_DURATION: Millis = Millis(300);
+/// Keeps the generator of departures apart from the others.
+const DEPARTURES: u64 = 0x6465_7061_7274;
 /// Exclusive upper bound of the bytes of an answer before it is cut; about the length of its head.
 const MAX_CUT: u64 = 130;
 /// Longest time added to [`MIN_DURATION`].
@@ -60,6 +62,17 @@
     }
 }
 
+/// How processes end in [`Fault::LeaveLate`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// The proxy is killed.
+    Kill,
+    /// All proxies are killed.
+    KillAll,
+    /// The proxy is told to stop.
+    Stop,
+}
+
 /// A fault or a piece of planned work. Instances are given by index, durations by [`Millis`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -90,6 +103,11 @@
     Drain(usize),
     /// Makes a backend server leave without draining, and replaces it.
     Leave(usize),
+    /// Makes a backend server withdraw and stay, and ends its proxy right after that is
+    /// acknowledged. A heartbeat from before the withdrawal arrives late.
+    LeaveLate(usize, Ending),
+    /// Restarts a backend server under its id while its clock is set back; it then drains.
+    Rewind(usize),
     /// Publishes a new configuration.
     Table,
     /// Orders a change to a bad version, deployed at one instance of its service.
@@ -115,6 +133,8 @@
             Fault::Crash(..) => "crash",
             Fault::Drain(_) => "drain",
             Fault::Leave(_) => "leave",
+            Fault::LeaveLate(..) => "leave-late",
+            Fault::Rewind(_) => "rewind",
             Fault::Table => "table",
             Fault::BadVersion(_) => "bad-version",
             Fault::ClockAhead(_) => "clock-ahead",
@@ -155,6 +175,7 @@
         let mut generator = Generator {
             random: SeededRandom::new(seed),
             variants: SeededRandom::new(!seed),
+            departures: SeededRandom::new(seed.rotate_left(32) ^ DEPARTURES),
             topology,
         };
         let planned_only = seed % 4 == 3;
@@ -179,6 +200,7 @@
                 });
             }
         }
+        steps.extend(generator.departures(planned_only));
         steps.sort_by_key(|s| s.at);
         Schedule {
             seed,
@@ -208,10 +230,32 @@
     random: SeededRandom,
     /// Draws variants of a fault, so that a new variant leaves the rest of a schedule unchanged.
     variants: SeededRandom,
+    /// Draws departures, which are added to the rest of a schedule.
+    departures: SeededRandom,
     topology: Topology,
 }
 
 impl Generator {
+    /// Returns departures of backend servers whose proxies end, or that have known another process.
+    fn departures(&mut self, planned_only: bool) -> Vec<Step> {
+        let random = &mut self.departures;
+        let count = 1 + random.below(2);
+        let mut steps = Vec::new();
+        for _ in 0..count {
+            let instance = random.below(self.topology.instances as u64) as usize;
+            let fault = match random.below(6) {
+                _ if planned_only => Fault::LeaveLate(instance, Ending::Stop),
+                0 | 1 => Fault::LeaveLate(instance, Ending::Kill),
+                2 => Fault::LeaveLate(instance, Ending::KillAll),
+                3 => Fault::LeaveLate(instance, Ending::Stop),
+                _ => Fault::Rewind(instance),
+            };
+            let at = random.jitter(INJECTION_WINDOW);
+            steps.push(Step { at, fault });
+        }
+        steps
+    }
+
     fn instance(&mut self) -> usize {
         self.random.below(self.topology.instances as u64) as usize
     }
--- a/crates/soak/src/testbed.rs
+++ b/crates/soak/src/testbed.rs
@@ -7,7 +7,7 @@
 use crate::checker::{Checker, Promise};
 use crate::child::Process;
 use crate::link::{Link, LinkMode};
-use crate::schedule::{Fault, LinkTarget};
+use crate::schedule::{Ending, Fault, LinkTarget};
 use async_std::task;
 use rf_base::{Incarnation, InstanceId, Millis};
 use rf_config::ProxySettings;
@@ -32,6 +32,12 @@
 const DRAIN_TIME: Millis = Millis(1000);
 /// Delay before an exited process is started again.
 const RESTART_DELAY: Millis = Millis(300);
+/// Time for which a backend server goes on after its withdrawal in [`Fault::LeaveLate`].
+const STAY_TIME: Millis = Millis(5000);
+/// Interval at which a late heartbeat is delivered meanwhile.
+const LATE_INTERVAL: Millis = Millis(400);
+/// Time by which the clock is set back in [`Fault::Rewind`].
+const CLOCK_STEP: Millis = Millis(600_000);
 /// Interval at which waiting tasks poll their condition.
 const POLL_INTERVAL: Millis = Millis(40);
 /// Time from the order of a version change to its deadline.
@@ -54,6 +60,8 @@
 #[derive(Clone, Debug)]
 struct Heartbeat {
     process: u64,
+    /// Start time of the process, in milliseconds since the Unix epoch.
+    born: u64,
     seq: u64,
     state: Option<&'static str>,
     version: String,
@@ -333,7 +341,7 @@
         let instance = &self.instances[number];
         let body = json!({
             "address": instance.settings.server.address,
-            "born": 1000 + heartbeat.process,
+            "born": heartbeat.born,
             "info": {
                 "service": instance.service, "version": heartbeat.version,
                 "zone": instance.settings.zone.0, "slots": SLOTS,
@@ -355,8 +363,10 @@
                 true => "v2",
                 false => "v1",
             };
+            let process = state.heartbeat.process + 1;
             state.heartbeat = Heartbeat {
-                process: state.heartbeat.process + 1,
+                process,
+                born: first_born(process),
                 seq: 0,
                 state: Some("ready"),
                 version: version.to_owned(),
@@ -404,6 +414,8 @@
             Fault::Crash(number, time) => self.crash(*number, *time).await,
             Fault::Drain(number) => self.drain(*number).await,
             Fault::Leave(number) => self.leave(*number).await,
+            Fault::LeaveLate(number, ending) => self.leave_late(*number, *ending).await,
+            Fault::Rewind(number) => self.rewind(*number).await,
             Fault::Table => self.write_config(),
             Fault::BadVersion(number) => self.try_bad_version(*number).await,
             Fault::ClockAhead(number) => self.set_clock_ahead(*number),
@@ -476,12 +488,21 @@
     }
 
     async fn leave(&self, number: usize) {
+        self.withdraw(number).await;
+        task::sleep(DRAIN_TIME.duration() + DRAIN_TIME.duration() / 2).await;
+        self.replace_server(number);
+    }
+
+    /// Withdraws the backend server of an instance; returns its last heartbeat.
+    async fn withdraw(&self, number: usize) -> Heartbeat {
         let instance = &self.instances[number];
-        let id = {
+        let last = {
             let mut state = instance.lock();
+            let last = state.heartbeat.clone();
             state.heartbeat.state = None;
-            instance.server_id(state.heartbeat.process)
+            last
         };
+        let id = instance.server_id(last.process);
         let target = format!("/api/instances/{id}");
         let address = instance.settings.listen.announcements;
         if matches!(call(address, "DELETE", &target, Vec::new()).await, Ok(200)) {
@@ -490,10 +511,68 @@
                 state.drained.push((id, Instant::now()));
             }
         }
-        task::sleep(DRAIN_TIME.duration() + DRAIN_TIME.duration() / 2).await;
+        last
+    }
+
+    /// Withdraws a backend server that stays for long, ends its proxy right after the
+    /// acknowledgement, and delivers a heartbeat from before it several times.
+    async fn leave_late(&self, number: usize, ending: Ending) {
+        let instance = &self.instances[number];
+        let mut late = self.withdraw(number).await;
+        late.seq += 1;
+        match ending {
+            Ending::Kill => instance.signal(Signal::KILL, true),
+            Ending::KillAll => {
+                for instance in &self.instances {
+                    instance.signal(Signal::KILL, true);
+                }
+            }
+            Ending::Stop => self.stop(number).await,
+        }
+        let start = Instant::now();
+        while start.elapsed() < STAY_TIME.duration() && !self.is_over() {
+            self.announce(number, &late, "ready").await;
+            task::sleep(LATE_INTERVAL.duration()).await;
+        }
         self.replace_server(number);
     }
 
+    /// Restarts the backend server under its id while the clock is set back; it then drains. A
+    /// heartbeat of the process before arrives late.
+    async fn rewind(&self, number: usize) {
+        let instance = &self.instances[number];
+        instance.lock().heartbeat.state = None;
+        let link = instance.link(LinkTarget::Server);
+        link.set(LinkMode::Reset);
+        task::sleep(RESTART_DELAY.duration()).await;
+        link.set(LinkMode::Pass);
+        let late = {
+            let mut state = instance.lock();
+            let late = state.heartbeat.clone();
+            let id = instance.server_id(late.process);
+            if state.drained.iter().any(|(process, _)| *process == id) {
+                drop(state);
+                return self.replace_server(number);
+            }
+            state.heartbeat.born = late.born.saturating_sub(CLOCK_STEP.0);
+            state.heartbeat.seq = 0;
+            state.heartbeat.state = Some("ready");
+            late
+        };
+        task::sleep(DRAIN_TIME.duration()).await;
+        if instance.lock().heartbeat.process == late.process {
+            instance.lock().heartbeat.state = Some("draining");
+            task::sleep(DRAIN_TIME.duration()).await;
+            let late = Heartbeat {
+                seq: late.seq + 1,
+                ..late
+            };
+            self.announce(number, &late, "ready").await;
+            task::sleep(DRAIN_TIME.duration()).await;
+        }
+        self.leave(number).await;
+    }
+
     /// Orders a change to a version that starts to fail after [`FAILURE_DELAY`], and checks how
     /// many requests reach it.
     async fn try_bad_version(&self, number: usize) {
@@ -626,6 +705,7 @@
             pauses: Vec::new(),
             heartbeat: Heartbeat {
                 process: 1,
+                born: first_born(1),
                 seq: 0,
                 state: Some("ready"),
                 version: "v1".to_owned(),
@@ -635,6 +715,11 @@
     })
 }
 
+/// Returns the start time of the process with this number.
+fn first_born(process: u64) -> u64 {
+    1_000_000 + process
+}
+
 /// Writes the settings file atomically through a rename, so that no reader sees a partial file.
 fn write_settings(folder: &Path, settings: &ProxySettings) -> io::Result<()> {
     let text = serde_json::to_string_pretty(settings)?;
