--- a/crates/rosemaryfork/tests/departures.rs
+++ b/crates/rosemaryfork/tests/departures.rs
@@ -139,24 +139,27 @@
     assert_eq!(restart_and_watch(&mut mesh, late, BORN, left).await, 0);
 }
 
-// Guards against a promise that nobody can keep: neither the store nor another proxy is there.
+// Guards against a promise that nobody can keep: neither the store nor another proxy is there. An
+// answer that is not the store's is no copy either.
 #[async_std::test]
 async fn a_departure_that_nobody_can_remember_is_not_acknowledged() {
-    let mut mesh = Mesh::start(7).await;
-    mesh.store.set_fault(StoreFault::Silent);
-    for machine in &mut mesh.machines[1..] {
-        machine.kill();
-    }
-    let status = mesh.machines[0].withdraw(Some(BORN)).await;
-    assert_ne!(status, Some(200));
-    let left = Instant::now();
-    task::sleep(DRAIN * 2).await;
-    assert_eq!(late_arrivals(&mesh.machines[0], left), 0);
-    // Once somebody remembers it, the repeated call is acknowledged.
-    mesh.store.set_fault(StoreFault::None);
-    let start = Instant::now();
-    while mesh.machines[0].withdraw(Some(BORN)).await != Some(200) {
-        assert!(start.elapsed() < START_TIMEOUT, "it is not acknowledged");
+    for (network, fault) in [(7, StoreFault::Silent), (12, StoreFault::Nonsense)] {
+        let mut mesh = Mesh::start(network).await;
+        mesh.store.set_fault(fault);
+        for machine in &mut mesh.machines[1..] {
+            machine.kill();
+        }
+        let status = mesh.machines[0].withdraw(Some(BORN)).await;
+        assert_ne!(status, Some(200), "{fault:?}");
+        let left = Instant::now();
+        task::sleep(DRAIN * 2).await;
+        assert_eq!(late_arrivals(&mesh.machines[0], left), 0);
+        // Once somebody remembers it, the repeated call is acknowledged.
+        mesh.store.set_fault(StoreFault::None);
+        let start = Instant::now();
+        while mesh.machines[0].withdraw(Some(BORN)).await != Some(200) {
+            assert!(start.elapsed() < START_TIMEOUT, "it is not acknowledged");
+        }
     }
 }
 
