Adopt a later departure that others remember, and log repeats at debug level

A proxy that names another departure than the one its neighbours remember was told in each exchange, with a log line each time, and went on naming its own. It now names the later one. Found by reading; no run showed it.

--- a/crates/proxy/src/local.rs
+++ b/crates/proxy/src/local.rs
@@ -8,7 +8,7 @@
 use rf_protocol::relay::AttemptRequest;
 use rf_traffic::local_server::{Change, LocalServerState};
 use rf_traffic::{ConditionChange, StatedLimit, StatedLoad, Statement};
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 /// Opens or closes the gate after a change of the announced state.
 ///
@@ -53,7 +53,10 @@
     let mut state = shared.local_server();
     let change = state.adopt(shared.now(), departure);
     let process = departure.process;
-    info!(event = "server.departed", process, from, ?change);
+    match change {
+        Change::Same => debug!(event = "server.departed", process, from),
+        change => info!(event = "server.departed", process, from, ?change),
+    }
     apply(shared, &state, change);
 }
 
--- a/crates/traffic/src/local_server.rs
+++ b/crates/traffic/src/local_server.rs
@@ -376,31 +376,34 @@
 
     /// Applies a departure that the store or another daemon remembers.
     pub fn adopt(&mut self, now: Millis, departure: &Departure) -> Change {
-        let used = self.server.as_ref();
-        let is_used = used.is_some_and(|s| {
+        let is_used = self.server.as_ref().is_some_and(|server| {
             let departed = Departed::of(*departure);
-            departed.covers(now, &s.id, s.started_ms)
+            departed.covers(now, &server.id, server.started_ms)
         });
-        match is_used || self.departed.last().is_none() {
-            true => self.close_if(is_used, *departure),
-            false => {
-                self.departed.remember(*departure);
-                Change::Same
-            }
+        if is_used {
+            return self.close(*departure);
+        }
+        let is_later = |last: Departure| last.at < departure.at;
+        if self.departed.last().is_none_or(is_later) {
+            return self.record(*departure);
         }
+        self.departed.remember(*departure);
+        Change::Same
     }
 
     /// Records a departure and takes the server out of use.
     fn close(&mut self, departure: Departure) -> Change {
-        self.close_if(true, departure)
+        let change = self.record(departure);
+        match self.server.take() {
+            Some(_) => Change::Closed,
+            None => change,
+        }
     }
 
-    fn close_if(&mut self, closes: bool, departure: Departure) -> Change {
-        let is_new = self.departed.record(departure);
-        match (closes && self.server.take().is_some(), is_new) {
-            (true, _) => Change::Closed,
-            (false, true) => Change::Departed,
-            (false, false) => Change::Same,
+    fn record(&mut self, departure: Departure) -> Change {
+        match self.departed.record(departure) {
+            true => Change::Departed,
+            false => Change::Same,
         }
     }
 }
