Let proxies that start together find those that they do not know

Cause: a proxy with any neighbour contacts a seed every 60 s only, and introduces itself to three random entries at its start, many of them of proxies that no longer exist. Proxies that start together can form groups that do not know of each other.

For 20 s after its start a daemon contacts seeds at which it knows no reachable daemon, about two a second. An introduction carries digests, so it costs little where the rosters agree.

--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -26,8 +26,12 @@
 const STABLE_HEARTBEATS: u64 = 2;
 /// Heartbeats after which the buckets are compared even if the digests keep changing.
 const MAX_DIFFERENCE_HEARTBEATS: u64 = 10;
-/// Mean time between two contacts of a seed by a daemon that has no neighbours.
+/// Mean time between two contacts of a seed by a daemon that has no neighbours, or that has started
+/// recently and does not know all seeds.
 const JOIN_INTERVAL: Millis = Millis(500);
+/// Time after its start within which a daemon contacts seeds that it does not know. Daemons that
+/// start together can find each other in groups that do not know of each other.
+const JOIN_TIME: Millis = Millis(20_000);
 
 /// Settings of [`Membership`].
 #[derive(Clone, Debug)]
@@ -77,6 +81,8 @@
     neighbours_revision: u64,
     next_seed: Millis,
     next_probe: Millis,
+    /// Time of the first tick.
+    started: Option<Millis>,
     random: SeededRandom,
 }
 
@@ -94,6 +100,7 @@
             neighbours_revision: 0,
             next_seed: Millis::ZERO,
             next_probe: Millis::ZERO,
+            started: None,
             random,
         }
     }
@@ -269,15 +276,23 @@
         if now < self.next_seed || self.settings.seeds.is_empty() {
             return None;
         }
-        let is_alone = self.neighbours.is_empty();
-        let interval = if is_alone {
+        let started = *self.started.get_or_insert(now);
+        let unknown = match now.since(started) < JOIN_TIME {
+            true => self.unknown_seeds(),
+            false => Vec::new(),
+        };
+        let is_joining = self.neighbours.is_empty() || !unknown.is_empty();
+        let interval = if is_joining {
             JOIN_INTERVAL
         } else {
             SEED_INTERVAL
         };
         self.next_seed = now + Millis(interval.0 / 2) + self.random.jitter(interval);
-        let index = self.random.below(self.settings.seeds.len() as u64) as usize;
-        let address = self.settings.seeds[index];
+        let seeds = match unknown.is_empty() {
+            true => &self.settings.seeds,
+            false => &unknown,
+        };
+        let address = seeds[self.random.below(seeds.len() as u64) as usize];
         if address == self.me.peers {
             return None;
         }
@@ -285,6 +300,13 @@
         Some((target, self.make_introduction()))
     }
 
+    /// Returns the seeds at which no reachable daemon is known.
+    fn unknown_seeds(&self) -> Vec<SocketAddr> {
+        let known: BTreeSet<SocketAddr> = self.roster.reachable().map(|m| m.peers).collect();
+        let seeds = self.settings.seeds.iter().copied();
+        seeds.filter(|seed| !known.contains(seed)).collect()
+    }
+
     /// Returns an exchange that introduces this daemon to one that may not know it.
     fn make_introduction(&self) -> Exchange {
         Exchange {
