Refuse an answer whose status HTTP does not define

Callers saw (MIXED): an answer of a server with status 000 was delivered to them, written as "HTTP/1.1 0", which is no HTTP. Statuses 001, 099, 600 and 999 passed as well. A 101 that nobody asked for was skipped like an interim response, and what followed was taken for the answer.

Cause: the parser only looks for three digits, and nothing checked their value before the answer was passed on, on this proxy or on the one that sent the attempt.

ResponseHead::verify says which heads are those of an answer, and read_response applies it to every head that it reads: of the backend server, of other proxies and of the store. A head that fails is a malformed message, so the request may have run (502) and the connection is closed.

Stand-in servers can now send raw bytes (raw_answer).

--- a/crates/standin/src/users/mesh.rs
+++ b/crates/standin/src/users/mesh.rs
@@ -52,6 +52,8 @@
     pub relay_public: Option<u16>,
     /// Limit on hedged requests; off by default.
     pub hedging: HedgingPolicy,
+    /// Longest body that callers may send, in bytes.
+    pub max_body: usize,
 }
 
 impl Default for MeshSettings {
@@ -64,6 +66,7 @@
             link: LINK_MBIT,
             relay_public: None,
             hedging: HedgingPolicy::default(),
+            max_body: 1024 * 1024,
         }
     }
 }
@@ -243,7 +246,7 @@
             "services": services,
             "limits": {
                 "maxHeaderBytes": 16384,
-                "maxBodyBytes": 1_048_576,
+                "maxBodyBytes": self.settings.max_body,
                 "headerTimeout": "3000ms",
                 "idleTimeout": "15s",
             },
--- a/crates/standin/src/users/server.rs
+++ b/crates/standin/src/users/server.rs
@@ -3,6 +3,7 @@
 //! It records every request, and answers, fails or violates the protocol as its behaviour says. A
 //! crash of its process is simulated by closing its connections and its port for a while.
 
+use crate::raw_answer::{AnswerStart, RawAnswer};
 use async_std::net::TcpListener;
 use async_std::task;
 use futures_lite::FutureExt;
@@ -55,6 +56,8 @@
     Early,
     /// Sends a part of a response without end until the peer closes the connection.
     Endless(Endless),
+    /// Answers with raw bytes, after which the connection is not used again.
+    Raw(RawAnswer),
     /// Crashes on requests whose target contains this text; the port is open again after
     /// [`RESTART_DELAY`].
     CrashesOn(String),
@@ -334,7 +337,15 @@
                 .get("X-Rosemaryfork-Request-Id")
                 .unwrap_or_default()
                 .to_owned();
-            if self.lock().behaviour == ServerBehaviour::Early && framing != Framing::Empty {
+            let behaviour = self.lock().behaviour.clone();
+            if let ServerBehaviour::Raw(answer) = &behaviour
+                && answer.start == AnswerStart::BeforeBody
+                && framing != Framing::Empty
+            {
+                self.record_arrival(&request, head, Vec::new(), true);
+                return answer.send(&mut connection.writer(), &request).await;
+            }
+            if behaviour == ServerBehaviour::Early && framing != Framing::Empty {
                 let answer = self.make_answer(&request, &ServerBehaviour::Early);
                 if connection.write(&answer).await.is_err() {
                     return;
@@ -420,6 +431,10 @@
             self.lock().arrivals[number].was_cut = true;
             return false;
         }
+        if let ServerBehaviour::Raw(answer) = &behaviour {
+            answer.send(&mut connection.writer(), request).await;
+            return false;
+        }
         let answer = self.make_answer(request, &behaviour);
         connection.write(&answer).await.ok();
         !matches!(
--- a/crates/transport/src/h1/connection.rs
+++ b/crates/transport/src/h1/connection.rs
@@ -303,7 +303,8 @@
                 && let Some((head, length)) = parse_response(self.buffered())?
             {
                 self.consume(length);
-                if !(100..200).contains(&head.status) {
+                head.verify().map_err(malformed)?;
+                if !head.is_interim() {
                     return Ok(head);
                 }
                 interim += 1;
--- a/crates/transport/src/h1/head.rs
+++ b/crates/transport/src/h1/head.rs
@@ -1,7 +1,14 @@
 //! Heads of HTTP/1.1 messages, and their header fields.
 
 use serde::{Deserialize, Serialize};
+use snafu::Snafu;
 use std::fmt::Write;
+use std::ops::RangeInclusive;
+
+/// Status codes that HTTP defines (RFC 9110, section 15).
+const STATUSES: RangeInclusive<u16> = 100..=599;
+/// Status that switches the connection to another protocol.
+const SWITCHING_PROTOCOLS: u16 = 101;
 
 /// Hop-by-hop headers, which apply to a single connection (RFC 9110, section 7.6.1).
 const HOP_BY_HOP_HEADERS: [&str; 8] = [
@@ -168,6 +175,20 @@
     }
 }
 
+/// Defect of the head of a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+pub enum HeadError {
+    /// HTTP does not define the status.
+    #[snafu(display("undefined status {status:03}"))]
+    Status {
+        /// Status code.
+        status: u16,
+    },
+    /// The response switches to another protocol. Requests of this crate never ask for that.
+    #[snafu(display("unrequested switch to another protocol"))]
+    Switch,
+}
+
 /// Head of a response.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ResponseHead {
@@ -197,6 +218,24 @@
         }
     }
 
+    /// Returns whether the response is an interim one, which the final response follows.
+    pub fn is_interim(&self) -> bool {
+        (100..200).contains(&self.status)
+    }
+
+    /// Checks that the head is one that a peer may have sent in answer to a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`HeadError`] that describes the first defect.
+    pub fn verify(&self) -> Result<(), HeadError> {
+        match self.status {
+            SWITCHING_PROTOCOLS => Err(HeadError::Switch),
+            status if !STATUSES.contains(&status) => Err(HeadError::Status { status }),
+            _ => Ok(()),
+        }
+    }
+
     /// Encodes the head. `length` is `None` if a response of this kind cannot have a body.
     pub fn encode(&self, length: Option<usize>) -> Vec<u8> {
         let reason = reason_phrase(self.status);
--- a/crates/transport/src/h1/mod.rs
+++ b/crates/transport/src/h1/mod.rs
@@ -12,6 +12,6 @@
 
 pub use connection::{ByteBudget, Connection, ReadError, ReadLimits, UnlimitedBytes};
 pub use framing::{Framing, FramingError, frame_request, frame_response};
-pub use head::{Headers, RequestHead, ResponseHead};
+pub use head::{HeadError, Headers, RequestHead, ResponseHead};
 pub use history::RequestHistory;
 pub use pool::{Pool, PoolSettings};
