Decode bodies with a state machine

No behaviour changes: BodyDecoder is the only code that determines how a body continues and that it has ended. It is polled, so that a body which is streamed can be read by the same rules as one that is held whole; until now the reader of the daemon had rules of its own. cargo test -p rf-transport -p rf-proxy passes.

--- a/crates/transport/src/h1/connection.rs
+++ b/crates/transport/src/h1/connection.rs
@@ -1,17 +1,19 @@
 //! A TCP connection that carries HTTP/1.1 messages.
 
+use super::body::{BodyDecoder, MAX_CHUNK_LINE_BYTES};
 use super::framing::Framing;
 use super::head::{Headers, RequestHead, ResponseHead};
 use super::history::RequestHistory;
 use async_std::future::timeout;
 use async_std::net::TcpStream;
-use async_std::task;
-use futures_lite::future::poll_once;
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use futures_lite::future::{poll_fn, poll_once};
+use futures_lite::{AsyncRead, AsyncReadExt, AsyncWriteExt, ready};
 use rf_base::Millis;
 use snafu::Snafu;
 use socket2::{SockRef, TcpKeepalive};
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Context, Poll};
 use std::time::Instant;
 
 /// Maximum number of header fields in one head.
@@ -24,12 +26,8 @@
 const SEGMENT_BYTES: usize = 64 * 1024;
 /// Number of reads after which the reader yields to other tasks, even if more bytes are available.
 const READS_PER_YIELD: u32 = 16;
-/// Length above which a chunk header or trailer line without an end is malformed.
-const MAX_CHUNK_LINE_BYTES: usize = 256;
 /// Maximum number of interim (1xx) responses that are skipped before the final response.
 const MAX_INTERIM: usize = 16;
-/// Maximum number of trailer fields after a chunked body.
-const MAX_TRAILERS: usize = 64;
 /// Time without acknowledgement of sent data after which the kernel closes a connection.
 const TCP_USER_TIMEOUT: Millis = Millis(1500);
 /// Idle time before the first keep-alive probe, and interval between probes. The kernel counts
@@ -72,28 +70,20 @@
     }
 }
 
-/// Destination of a body, which enforces its limits.
+/// Destination of a body, which takes its bytes from a budget.
 struct Sink<'a, B> {
     /// Segments that are full, in order.
     full: Vec<Vec<u8>>,
     /// Segment that is being filled.
     last: Vec<u8>,
-    /// Number of bytes in all segments.
-    length: usize,
-    limit: usize,
     budget: &'a B,
 }
 
 impl<B: ByteBudget> Sink<'_, B> {
     fn extend(&mut self, bytes: &[u8]) -> Result<()> {
-        let fits = self.length.saturating_add(bytes.len()) <= self.limit;
-        if !fits {
-            return Err(ReadError::BodyTooLarge { limit: self.limit });
-        }
         if !self.budget.try_take(bytes.len()) {
             return Err(ReadError::OutOfMemory);
         }
-        self.length += bytes.len();
         if !self.last.is_empty() && self.last.len() + bytes.len() > SEGMENT_BYTES {
             let next = Vec::with_capacity(SEGMENT_BYTES);
             self.full.push(std::mem::replace(&mut self.last, next));
@@ -160,7 +150,7 @@
     buffer: Vec<u8>,
     /// Number of bytes at the start of the buffer that have been consumed.
     consumed: usize,
-    /// Number of reads so far, wrapping.
+    /// Number of reads since the reader last yielded.
     reads: u32,
     idle_since: Instant,
     /// Requests sent on the connection, if its user records them.
@@ -350,106 +340,50 @@
         limits: &ReadLimits,
         budget: &B,
     ) -> Result<Vec<u8>> {
+        let mut decoder = BodyDecoder::new(framing, limits.body)?;
         let mut sink = Sink {
             full: Vec::new(),
             last: Vec::new(),
-            length: 0,
-            limit: limits.body,
             budget,
         };
-        match framing {
-            Framing::Empty => {}
-            Framing::Length(length) => {
-                let length = usize::try_from(length).unwrap_or(usize::MAX);
-                if length > sink.limit {
-                    return Err(ReadError::BodyTooLarge { limit: sink.limit });
-                }
-                sink.last.reserve(length.min(SEGMENT_BYTES));
-                self.read_into(&mut sink, length).await?;
-            }
-            Framing::Chunked => self.read_chunks(&mut sink).await?,
-            Framing::UntilClose => self.read_until_close(&mut sink).await?,
-        }
-        Ok(sink.into_body())
-    }
-
-    /// Reads `length` bytes and appends them to `sink`.
-    async fn read_into<B: ByteBudget>(
-        &mut self,
-        sink: &mut Sink<'_, B>,
-        length: usize,
-    ) -> Result<()> {
-        let mut remaining = length;
-        while remaining > 0 {
-            if !self.has_buffered_bytes() && self.fill().await? == 0 {
-                return Err(ReadError::Truncated);
-            }
-            let buffered = self.buffered();
-            let taken = buffered.len().min(remaining);
-            sink.extend(&buffered[..taken])?;
-            self.consume(taken);
-            remaining -= taken;
+        if let Framing::Length(length) = framing {
+            let length = usize::try_from(length).unwrap_or(usize::MAX);
+            sink.last.reserve(length.min(SEGMENT_BYTES));
         }
-        Ok(())
-    }
-
-    /// Reads until the peer closes the connection.
-    async fn read_until_close<B: ByteBudget>(&mut self, sink: &mut Sink<'_, B>) -> Result<()> {
         loop {
-            sink.extend(self.buffered())?;
-            self.consume(self.buffered().len());
-            if self.fill().await? == 0 {
-                return Ok(());
-            }
-        }
-    }
-
-    async fn read_chunks<B: ByteBudget>(&mut self, sink: &mut Sink<'_, B>) -> Result<()> {
-        loop {
-            let length = parse_chunk_length(&self.read_line().await?)?;
+            let length = poll_fn(|cx| decoder.poll_next(cx, self)).await?;
             if length == 0 {
-                break;
-            }
-            if sink.length.saturating_add(length) > sink.limit {
-                return Err(ReadError::BodyTooLarge { limit: sink.limit });
-            }
-            self.read_into(sink, length).await?;
-            if !self.read_line().await?.is_empty() {
-                return Err(malformed("chunk longer than its declared length"));
-            }
-        }
-        for _ in 0..=MAX_TRAILERS {
-            if self.read_line().await?.is_empty() {
-                return Ok(());
+                return Ok(sink.into_body());
             }
+            sink.extend(&self.buffered()[..length])?;
+            decoder.consume(self, length);
         }
-        Err(malformed("too many trailer fields"))
     }
 
     /// Reads a line of a chunked body; returns it without its line end.
-    async fn read_line(&mut self) -> Result<Vec<u8>> {
+    pub(super) fn poll_line(&mut self, cx: &mut Context<'_>) -> Poll<Result<Vec<u8>>> {
         loop {
             let buffered = self.buffered();
             if let Some(end) = buffered.windows(2).position(|w| w == b"\r\n") {
                 let line = buffered[..end].to_vec();
                 self.consume(end + 2);
-                return Ok(line);
+                return Poll::Ready(Ok(line));
             }
             if buffered.len() > MAX_CHUNK_LINE_BYTES {
-                return Err(malformed("line of a chunked body is too long"));
+                return Poll::Ready(Err(malformed("line of a chunked body is too long")));
             }
-            if self.fill().await? == 0 {
-                return Err(ReadError::Truncated);
+            if ready!(self.poll_fill(cx))? == 0 {
+                return Poll::Ready(Err(ReadError::Truncated));
             }
         }
     }
 
     /// Returns the bytes that have been read but not consumed.
-    fn buffered(&self) -> &[u8] {
+    pub(super) fn buffered(&self) -> &[u8] {
         &self.buffer[self.consumed..]
     }
 
-    fn consume(&mut self, length: usize) {
+    pub(super) fn consume(&mut self, length: usize) {
         self.consumed += length;
         if self.consumed == self.buffer.len() {
             self.buffer.clear();
@@ -459,11 +393,17 @@
 
     /// Reads more bytes into the buffer and returns their number; 0 means the end of the stream.
     async fn fill(&mut self) -> Result<usize> {
+        poll_fn(|cx| self.poll_fill(cx)).await
+    }
+
+    /// Polls like [`Connection::fill`].
+    pub(super) fn poll_fill(&mut self, cx: &mut Context<'_>) -> Poll<Result<usize>> {
         // Without yielding, a peer that sends continuously could keep the reader's own timeout from
         // being polled.
-        self.reads = self.reads.wrapping_add(1);
-        if self.reads.is_multiple_of(READS_PER_YIELD) {
-            task::yield_now().await;
+        if self.reads >= READS_PER_YIELD {
+            self.reads = 0;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
         }
         if self.consumed > 0 {
             self.buffer.drain(..self.consumed);
@@ -471,39 +411,15 @@
         }
         let length = self.buffer.len();
         self.buffer.resize(length + READ_BYTES, 0);
-        let result = PendingRead {
-            connection: self,
-            length,
-        }
-        .read()
-        .await;
-        result.map_err(|source| ReadError::Failed { source })
-    }
-}
-
-/// Read operation on the buffer of a connection. On drop, also if the operation is cancelled, it
-/// truncates the buffer to the bytes that have been read.
-struct PendingRead<'a> {
-    connection: &'a mut Connection,
-    length: usize,
-}
-
-impl PendingRead<'_> {
-    async fn read(mut self) -> std::io::Result<usize> {
-        let length = self.length;
-        let connection = &mut *self.connection;
-        let read = connection
-            .stream
-            .read(&mut connection.buffer[length..])
-            .await?;
-        self.length += read;
-        Ok(read)
-    }
-}
-
-impl Drop for PendingRead<'_> {
-    fn drop(&mut self) {
-        self.connection.buffer.truncate(self.length);
+        let polled = Pin::new(&mut self.stream).poll_read(cx, &mut self.buffer[length..]);
+        let read = match &polled {
+            Poll::Ready(Ok(read)) => *read,
+            _ => 0,
+        };
+        self.buffer.truncate(length + read);
+        let result = ready!(polled);
+        self.reads += 1;
+        Poll::Ready(result.map_err(|source| ReadError::Failed { source }))
     }
 }
 
@@ -522,22 +438,12 @@
         .ok();
 }
 
-fn malformed(message: impl ToString) -> ReadError {
+pub(super) fn malformed(message: impl ToString) -> ReadError {
     ReadError::Malformed {
         message: message.to_string(),
     }
 }
 
-fn parse_chunk_length(line: &[u8]) -> Result<usize> {
-    let text = std::str::from_utf8(line).map_err(malformed)?;
-    let digits = text.split(';').next().unwrap_or("").trim();
-    let is_hex = !digits.is_empty() && digits.bytes().all(|b| b.is_ascii_hexdigit());
-    match is_hex {
-        true => usize::from_str_radix(digits, 16).map_err(malformed),
-        false => Err(malformed("chunk without a valid length")),
-    }
-}
-
 fn parse_request(bytes: &[u8]) -> Result<Option<(RequestHead, usize)>> {
     let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut request = httparse::Request::new(&mut fields);
--- a/crates/transport/src/h1/mod.rs
+++ b/crates/transport/src/h1/mod.rs
@@ -2,14 +2,16 @@
 //!
 //! The proxy forwards methods, targets and bodies unchanged, must recognise an answer that belongs
 //! to an earlier request, and must distinguish a complete answer from a truncated one. Heads are
-//! parsed by `httparse`; only [`framing`] determines where a body ends.
+//! parsed by `httparse`; only [`framing`] and [`body`] determine where a body ends.
 
+pub mod body;
 pub mod connection;
 pub mod framing;
 pub mod head;
 pub mod history;
 pub mod pool;
 
+pub use body::BodyDecoder;
 pub use connection::{ByteBudget, Connection, ReadError, ReadLimits, UnlimitedBytes};
 pub use framing::{Framing, FramingError, frame_request, frame_response};
 pub use head::{HeadError, Headers, RequestHead, ResponseHead};
