Take an answer without a length for whole only if its connection did not fail

Callers saw (MIXED): a server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The part was delivered as a complete answer.

Cause: the proxy writes the upload while it reads the answer, and ignored a failed write because the read was expected to fail too. A failed write takes the error of the socket with it, so the read after it sees an ordinary end of the stream, which ends a body without a length. Which of the two comes first depends on the order of polling; here the write always did. A timeout of the kernel acts the same way.

The connection now writes the request itself while it is read (begin_write) and remembers a failure. After the end of the stream, a body without a length is whole only once the request has been written and the socket has no error; otherwise the attempt may have run (502). This holds in the decoder, so for every reader of bodies. A server that closes its direction only and reads on is still believed.

Evidence: on answer_without_a_length_is_not_whole_after_a_reset gets status 200 with the part in all 12 cases where the answer precedes the upload (reset or closed, beside the server or through another proxy, three times each); after the upload it passed. All cases pass now, as does answer_without_a_length_is_whole_if_the_server_reads_on, before and after.

--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -18,7 +18,6 @@
 use crate::local;
 use crate::shared::Shared;
 use async_std::future::timeout;
-use futures_lite::{AsyncWriteExt, FutureExt, future};
 use rf_base::Millis;
 use rf_base::ids::hash_key;
 use rf_config::RepeatPolicy;
@@ -28,7 +27,6 @@
     Connection, Framing, Headers, ReadError, ReadLimits, RequestHead, ResponseHead, frame_response,
 };
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
 use tracing::{info, warn};
 
 /// Longest idle time after which a connection is reused for a request that must not be repeated. A
@@ -116,7 +114,7 @@
         }
     };
     let bytes = encode(shared, permit, attempt, left);
-    match exchange(shared, permit, connection, attempt, &bytes).await {
+    match exchange(shared, permit, connection, attempt, bytes).await {
         Ok((end, connection)) => {
             if let Some(connection) = connection {
                 shared.server_pool.put_back(address, connection);
@@ -179,20 +177,11 @@
     permit: &SlotPermit,
     mut connection: Connection,
     attempt: &AttemptRequest,
-    bytes: &[u8],
+    bytes: Vec<u8>,
 ) -> Result<(AttemptEnd, Option<Connection>), ReadError> {
-    let is_sent = AtomicBool::new(false);
-    let mut writer = connection.writer();
-    let writing = async {
-        // If the write fails, the read fails too, with a more specific error.
-        if writer.write_all(bytes).await.is_ok() {
-            is_sent.store(true, Ordering::Relaxed);
-        }
-        future::pending().await
-    };
-    let reading = read_answer(shared, permit, &mut connection, attempt);
-    let (end, is_reusable) = writing.or(reading).await?;
-    let is_reusable = is_reusable && is_sent.load(Ordering::Relaxed);
+    connection.begin_write(bytes);
+    let (end, is_reusable) = read_answer(shared, permit, &mut connection, attempt).await?;
+    let is_reusable = is_reusable && connection.is_sent();
     Ok((end, is_reusable.then_some(connection)))
 }
 
--- a/crates/proxy/tests/broken_answers.rs
+++ b/crates/proxy/tests/broken_answers.rs
@@ -1,11 +1,14 @@
 //! Answers of backend servers that are no answers, as callers see them, from the local backend
 //! server and through another proxy.
 
-use rf_standin::raw_answer::RawAnswer;
+use rf_base::Millis;
+use rf_standin::raw_answer::{AnswerStart, ConnectionEnd, RawAnswer};
 use rf_standin::users::mesh::{CallerRequest, wait_until};
 use rf_standin::users::server::response_body;
 use rf_standin::users::{Mesh, MeshSettings, ServerBehaviour};
 
+/// Body of a long upload; the socket buffers hold only a part of it.
+const UPLOAD_BYTES: usize = 12 * 1024 * 1024;
 /// Fields of an answer that would be accepted.
 const NAMED: &str = "X-Rosemaryfork-Request-Id: {id}\r\nX-Rosemaryfork-Response-Signature: s.1\r\n";
 
@@ -15,6 +18,7 @@
     let settings = MeshSettings {
         network,
         services: vec![("payments".to_owned(), 1), ("records".to_owned(), 1)],
+        max_body: 2 * UPLOAD_BYTES,
         ..MeshSettings::default()
     };
     Mesh::start(settings).await.expect("the mesh starts")
@@ -118,3 +122,58 @@
     }
     expect_failures(&mesh, &answers).await;
 }
+
+fn upload(id: &str) -> CallerRequest {
+    CallerRequest {
+        body: vec![b'b'; UPLOAD_BYTES],
+        timeout: Millis(8000),
+        ..CallerRequest::pay(id)
+    }
+}
+
+fn unframed(start: AnswerStart, end: ConnectionEnd) -> RawAnswer {
+    RawAnswer {
+        text: format!("HTTP/1.1 200 OK\r\n{NAMED}\r\npart of a body"),
+        start,
+        end,
+    }
+}
+
+// Guards against MIXED: the part of a body that came before a reset passed for the whole body.
+#[async_std::test]
+async fn answer_without_a_length_is_not_whole_after_a_reset() {
+    let mesh = start(214).await;
+    let mut delivered = Vec::new();
+    for number in 0..3 {
+        for start in [AnswerStart::BeforeBody, AnswerStart::AfterBody] {
+            for end in [ConnectionEnd::Closed, ConnectionEnd::Reset] {
+                // After the whole request a closed connection ends the answer by definition.
+                if (start, end) == (AnswerStart::AfterBody, ConnectionEnd::Closed) {
+                    continue;
+                }
+                let what = format!("{start:?}, {end:?}");
+                let ask = upload(&format!("p-{number}-{start:?}-{end:?}"));
+                let answer = unframed(start, end);
+                delivered.extend(find_delivered(&mesh, &what, &answer, &ask).await);
+            }
+        }
+    }
+    assert!(delivered.is_empty(), "{}", delivered.join("\n"));
+}
+
+// The answer is whole: it ends without a failure, and the server takes the rest of the request.
+#[async_std::test]
+async fn answer_without_a_length_is_whole_if_the_server_reads_on() {
+    let mesh = start(215).await;
+    let server = &mesh.instances[0].server;
+    for start in [AnswerStart::BeforeBody, AnswerStart::AfterBody] {
+        let answer = unframed(start, ConnectionEnd::HalfClosed);
+        server.set_behaviour(ServerBehaviour::Raw(answer));
+        for proxy in 0..2 {
+            let ask = upload(&format!("p-{proxy}-{start:?}"));
+            let received = mesh.send(proxy, &ask).await.expect("an answer");
+            assert_eq!(received.head.status, 200, "{start:?}, proxy {proxy}");
+            assert_eq!(received.body, b"part of a body");
+        }
+    }
+}
--- a/crates/transport/src/h1/body.rs
+++ b/crates/transport/src/h1/body.rs
@@ -28,6 +28,8 @@
     Trailers(usize),
     /// The body continues until the connection ends.
     UntilClose,
+    /// The peer has ended the connection, without failure as far as is known yet.
+    CleanEnd,
     /// The body has ended.
     End,
 }
@@ -92,7 +94,7 @@
                 }
                 State::UntilClose => {
                     if !connection.has_buffered_bytes() && ready!(connection.poll_fill(cx))? == 0 {
-                        self.state = State::End;
+                        self.state = State::CleanEnd;
                         continue;
                     }
                     let length = connection.buffered().len();
@@ -101,6 +103,10 @@
                         false => Poll::Ready(Err(ReadError::BodyTooLarge { limit: self.limit })),
                     };
                 }
+                State::CleanEnd => {
+                    ready!(connection.poll_clean_end(cx))?;
+                    self.state = State::End;
+                }
                 State::ChunkHeader => {
                     let line = ready!(connection.poll_line(cx))?;
                     self.state = match parse_chunk_length(&line)? {
--- a/crates/transport/src/h1/connection.rs
+++ b/crates/transport/src/h1/connection.rs
@@ -7,7 +7,7 @@
 use async_std::future::timeout;
 use async_std::net::TcpStream;
 use futures_lite::future::{poll_fn, poll_once};
-use futures_lite::{AsyncRead, AsyncReadExt, AsyncWriteExt, ready};
+use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ready};
 use rf_base::Millis;
 use snafu::Snafu;
 use socket2::{SockRef, TcpKeepalive};
@@ -143,6 +143,14 @@
 /// Result of reading from a connection.
 pub type Result<T> = std::result::Result<T, ReadError>;
 
+/// Message that is written while the connection is read.
+#[derive(Debug, Default)]
+struct Outgoing {
+    bytes: Vec<u8>,
+    written: usize,
+    error: Option<std::io::Error>,
+}
+
 /// A TCP connection with a buffer of bytes that have been read but not consumed.
 #[derive(Debug)]
 pub struct Connection {
@@ -153,6 +161,8 @@
     /// Number of reads since the reader last yielded.
     reads: u32,
     idle_since: Instant,
+    /// Message that is written while the connection is read.
+    outgoing: Outgoing,
     /// Requests sent on the connection, if its user records them.
     history: RequestHistory,
 }
@@ -167,6 +177,7 @@
             consumed: 0,
             reads: 0,
             idle_since: Instant::now(),
+            outgoing: Outgoing::default(),
             history: RequestHistory::default(),
         }
     }
@@ -230,6 +241,59 @@
         self.stream.write_all(bytes).await
     }
 
+    /// Begins to write `bytes`. The rest is written while the connection is read, because the peer
+    /// may answer before it has read everything.
+    pub fn begin_write(&mut self, bytes: Vec<u8>) {
+        self.outgoing = Outgoing {
+            bytes,
+            ..Outgoing::default()
+        };
+    }
+
+    /// Returns whether everything passed to [`Connection::begin_write`] has been written.
+    pub fn is_sent(&self) -> bool {
+        self.outgoing.bytes.is_empty() && self.outgoing.error.is_none()
+    }
+
+    /// Continues to write what [`Connection::begin_write`] began.
+    fn poll_outgoing(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let outgoing = &mut self.outgoing;
+        while outgoing.written < outgoing.bytes.len() {
+            let rest = &outgoing.bytes[outgoing.written..];
+            match ready!(Pin::new(&mut self.stream).poll_write(cx, rest)) {
+                Ok(written) if written > 0 => outgoing.written += written,
+                result => {
+                    let closed = std::io::ErrorKind::WriteZero.into();
+                    outgoing.error = Some(result.err().unwrap_or(closed));
+                    break;
+                }
+            }
+        }
+        outgoing.bytes = Vec::new();
+        outgoing.written = 0;
+        Poll::Ready(())
+    }
+
+    /// Waits until the outgoing message has been written, after the peer has ended its direction.
+    ///
+    /// The end of the stream alone does not prove that the peer sent all that it meant to: a write
+    /// that fails takes the error of the socket with it, and the read after it sees an ordinary end.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ReadError::Failed`] if the connection has failed in either direction.
+    pub(super) fn poll_clean_end(&mut self, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        ready!(self.poll_outgoing(cx));
+        let pending = SockRef::from(&self.stream)
+            .take_error()
+            .unwrap_or_else(Some);
+        let error = self.outgoing.error.take().or(pending);
+        Poll::Ready(match error {
+            Some(source) => Err(ReadError::Failed { source }),
+            None => Ok(()),
+        })
+    }
+
     /// Waits for the first byte of the next message.
     ///
     /// # Errors
@@ -405,6 +469,8 @@
             cx.waker().wake_by_ref();
             return Poll::Pending;
         }
+        // A message that can't be written may have been answered all the same.
+        let _ = self.poll_outgoing(cx);
         if self.consumed > 0 {
             self.buffer.drain(..self.consumed);
             self.consumed = 0;
--- a/crates/transport/src/h1/pool.rs
+++ b/crates/transport/src/h1/pool.rs
@@ -97,9 +97,10 @@
     }
 
     /// Returns a connection to the pool. Its last message must be complete; a connection with
-    /// unread bytes or a full history is closed instead.
+    /// unread bytes, an unsent message or a full history is closed instead.
     pub fn put_back(&self, address: SocketAddr, mut connection: Connection) {
-        if connection.has_buffered_bytes() || connection.history().is_full() {
+        let is_idle = !connection.has_buffered_bytes() && connection.is_sent();
+        if !is_idle || connection.history().is_full() {
             return;
         }
         connection.mark_idle();
