Refuse answers whose body or trailers do not follow the grammar of HTTP

Callers saw (MIXED): answers whose end is in doubt passed as whole. In chunked bodies the trailer section could hold any bytes, extensions could hold control bytes, and a length could follow blanks; a 204 could declare a body, a HTTP/1.0 answer could use chunks, answers to HEAD and 304 could have conflicting lengths, and blank lines before the status line were skipped.

Cause: trailers and extensions were skipped without being parsed, and the framing of an answer without a body was not looked at.

Trailers are parsed by the parser of heads, extensions must be text, and frame_response examines the fields before it decides that there is no body.

--- a/crates/proxy/tests/broken_answers.rs
+++ b/crates/proxy/tests/broken_answers.rs
@@ -123,6 +123,25 @@
     expect_failures(&mesh, &answers).await;
 }
 
+// Guards against MIXED: the end of the body is in doubt.
+#[async_std::test]
+async fn answer_with_doubtful_framing_is_not_delivered() {
+    let mesh = start(213).await;
+    let answers = [
+        "Content-Length: +2\r\n\r\nok",
+        "Content-Length: 2\r\nContent-Length: 3\r\n\r\nok",
+        "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "Transfer-Encoding: gzip\r\n\r\nok",
+        "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX Field: a\r\n\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n 2\r\nok\r\n0\r\n\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n2;a\u{1}\r\nok\r\n0\r\n\r\n",
+    ];
+    let answers = answers.map(|rest| (rest, format!("HTTP/1.1 200 OK\r\n{NAMED}{rest}")));
+    expect_failures(&mesh, &answers).await;
+}
+
 fn upload(id: &str) -> CallerRequest {
     CallerRequest {
         body: vec![b'b'; UPLOAD_BYTES],
--- a/crates/transport/src/h1/body.rs
+++ b/crates/transport/src/h1/body.rs
@@ -122,11 +122,15 @@
                 }
                 State::Trailers(count) => {
                     let line = ready!(connection.poll_line(cx))?;
-                    self.state = match line.is_empty() {
-                        true => State::End,
-                        false if count < MAX_TRAILERS => State::Trailers(count + 1),
-                        false => return Poll::Ready(Err(malformed("too many trailer fields"))),
-                    };
+                    if line.is_empty() {
+                        self.state = State::End;
+                        continue;
+                    }
+                    if count == MAX_TRAILERS {
+                        return Poll::Ready(Err(malformed("too many trailer fields")));
+                    }
+                    check_trailer(&line)?;
+                    self.state = State::Trailers(count + 1);
                 }
             }
         }
@@ -150,12 +154,30 @@
     }
 }
 
+/// Parses the length of a chunk, which an extension may follow.
 fn parse_chunk_length(line: &[u8]) -> Result<u64> {
-    let text = std::str::from_utf8(line).map_err(malformed)?;
-    let digits = text.split(';').next().unwrap_or("").trim();
+    let end = line.iter().position(|b| *b == b';').unwrap_or(line.len());
+    let (length, extension) = line.split_at(end);
+    let is_text = |b: &u8| *b == b'\t' || !b.is_ascii_control();
+    if !extension.iter().all(is_text) {
+        return Err(malformed("control byte in a chunk extension"));
+    }
+    let digits = std::str::from_utf8(length).map_err(malformed)?;
+    let digits = digits.trim_end_matches([' ', '\t']);
     let is_hex = !digits.is_empty() && digits.bytes().all(|b| b.is_ascii_hexdigit());
     match is_hex {
         true => u64::from_str_radix(digits, 16).map_err(malformed),
         false => Err(malformed("chunk without a valid length")),
     }
 }
+
+/// Checks that a line is a field by the same grammar as in heads.
+fn check_trailer(line: &[u8]) -> Result<()> {
+    let section = [line, b"\r\n\r\n"].concat();
+    let mut fields = [httparse::EMPTY_HEADER; 1];
+    match httparse::parse_headers(&section, &mut fields) {
+        Ok(httparse::Status::Complete((length, _))) if length == section.len() => Ok(()),
+        Err(error) => Err(malformed(error)),
+        Ok(_) => Err(malformed("trailer that is not one line")),
+    }
+}
--- a/crates/transport/src/h1/connection.rs
+++ b/crates/transport/src/h1/connection.rs
@@ -526,6 +526,10 @@
 }
 
 fn parse_response(bytes: &[u8]) -> Result<Option<(ResponseHead, usize)>> {
+    // The parser skips blank lines, which are permitted before requests only.
+    if matches!(bytes.first(), Some(b'\r' | b'\n')) {
+        return Err(malformed("blank line before a response"));
+    }
     let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut response = httparse::Response::new(&mut fields);
     let httparse::Status::Complete(length) = response.parse(bytes).map_err(malformed)? else {
--- a/crates/transport/src/h1/framing.rs
+++ b/crates/transport/src/h1/framing.rs
@@ -28,7 +28,10 @@
     /// The message has both a content length and a transfer coding.
     #[snafu(display("content-length beside transfer-encoding"))]
     Both,
-    /// The transfer coding is not exactly `chunked`.
+    /// A response that has no body by definition declares one.
+    #[snafu(display("body declared by a response without one"))]
+    Bodiless,
+    /// The transfer coding is not exactly `chunked`, or HTTP/1.0 is used, which has none.
     #[snafu(display("unsupported transfer-encoding"))]
     Coding,
     /// The request has no host header or several.
@@ -65,14 +68,19 @@
 ///
 /// Returns a [`FramingError`] if the framing is invalid or ambiguous.
 pub fn frame_response(head: &ResponseHead, method: &str) -> Result<Framing> {
-    let is_bodiless = matches!(head.status, 100..=199 | 204 | 304);
-    if is_bodiless || method == "HEAD" {
-        return Ok(Framing::Empty);
-    }
     let is_chunked = is_chunked(head.headers.all("transfer-encoding"))?;
     let length = content_length(head.headers.all("content-length"))?;
     match (is_chunked, length) {
         (true, Some(_)) => Err(FramingError::Both),
+        (true, None) if head.minor == 0 => Err(FramingError::Coding),
+        // These fields may describe the response to GET or one that is not 304.
+        _ if method == "HEAD" || head.status == 304 => Ok(Framing::Empty),
+        (is_chunked, length) if matches!(head.status, 100..=199 | 204) => {
+            match is_chunked || length.is_some_and(|n| n > 0) {
+                true => Err(FramingError::Bodiless),
+                false => Ok(Framing::Empty),
+            }
+        }
         (true, None) => Ok(Framing::Chunked),
         (false, Some(0)) => Ok(Framing::Empty),
         (false, Some(n)) => Ok(Framing::Length(n)),
