Verify answers that another proxy has read before they are passed on

What callers would see: the answer in another proxy's reply was written to the caller as it came. Not seen outside the test.

Cause: a head is only checked where it is parsed, and the answer in a reply is not parsed from a head.

check_end applies ResponseHead::verify, which now also covers names and values, to answers in replies and in the ledger's answers to queries. One that fails may have run (502). Fields that concern one connection are removed there too.

--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -14,10 +14,13 @@
 use futures_lite::FutureExt;
 use rf_base::{AttemptId, Millis};
 use rf_protocol::relay::{
-    AttemptEnd, AttemptKey, AttemptRequest, LedgerAnswer, Loss, Rejection, RelayReply, RelayRequest,
+    AttemptEnd, AttemptKey, AttemptRequest, LedgerAnswer, Loss, Rejection, RelayReply,
+    RelayRequest, ServerAnswer,
 };
 use rf_traffic::placement::OfferReport;
-use rf_transport::h1::{Connection, Pool, ReadLimits, RequestHead, ResponseHead, frame_response};
+use rf_transport::h1::{
+    Connection, Headers, Pool, ReadLimits, RequestHead, ResponseHead, frame_response,
+};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use snafu::Snafu;
@@ -277,6 +280,7 @@
         Outcome::Replied((RelayReply::Attempt(end, load, spent), length)) => {
             shared.peer_pool.put_back(target.relay, connection);
             count("answer", length);
+            let end = check_end(&request, end);
             if matches!(end, AttemptEnd::Answered(_)) {
                 shared.observe_answer_size(route, length);
             }
@@ -289,8 +293,38 @@
             (end, Some(report))
         }
         Outcome::Replied(_) => (AttemptEnd::MayHaveRun(Loss::Broken), None),
-        Outcome::Queried(end) => (end, None),
+        Outcome::Queried(end) => (check_end(&request, end), None),
+    }
+}
+
+/// Returns `end`, unless it is an answer that no message can have had. The proxy that read the
+/// answer may check less, so it is not passed on unchecked.
+fn check_end(request: &str, end: AttemptEnd) -> AttemptEnd {
+    match end {
+        AttemptEnd::Answered(answer) => check_answer(answer).unwrap_or_else(|defect| {
+            warn!(event = "answer.malformed", request, defect);
+            AttemptEnd::MayHaveRun(Loss::Broken)
+        }),
+        other => other,
+    }
+}
+
+fn check_answer(mut answer: ServerAnswer) -> std::result::Result<AttemptEnd, String> {
+    let mut head = ResponseHead {
+        headers: Headers::from_fields(std::mem::take(&mut answer.headers)),
+        ..ResponseHead::new(answer.status)
+    };
+    head.verify().map_err(|e| e.to_string())?;
+    if head.is_interim() {
+        return Err("interim response".to_owned());
+    }
+    if head.is_bodiless() && !answer.body.is_empty() {
+        return Err(format!("body of a response with status {}", head.status));
     }
+    // The length of the body is written with it.
+    head.headers.strip_hop_by_hop();
+    answer.headers = head.headers.into_fields();
+    Ok(AttemptEnd::Answered(answer))
 }
 
 enum Outcome {
--- a/crates/proxy/tests/links.rs
+++ b/crates/proxy/tests/links.rs
@@ -64,3 +64,27 @@
         }
     }
 }
+
+// Guards against MIXED: an answer that another proxy passed on unchecked reached its caller.
+#[async_std::test]
+async fn answer_that_no_message_can_have_had_is_not_delivered() {
+    let (mesh, link) = start(198).await;
+    let modes = [
+        LinkMode::ForgesStatus,
+        LinkMode::ForgesName,
+        LinkMode::ForgesValue,
+    ];
+    for mode in modes {
+        link.set_mode(mode);
+        let request = format!("p-{mode:?}");
+        let answer = mesh.send(1, &CallerRequest::pay(&request)).await;
+        let status = answer.map(|a| a.head.status);
+        assert_eq!(status.ok(), Some(502), "{mode:?}");
+        assert_eq!(mesh.runs(&request), 1, "{mode:?}");
+    }
+    link.set_mode(LinkMode::ForgesLength);
+    let answer = mesh.send(1, &CallerRequest::pay("p-length")).await;
+    let answer = answer.expect("an answer");
+    assert_eq!(answer.head.status, 200);
+    assert_eq!(answer.body, response_body("p-length").into_bytes());
+}
--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -1,10 +1,11 @@
-//! Stand-in for a link between two processes of the mesh that mixes up or cuts replies.
+//! Stand-in for a link between two processes of the mesh that mixes up, cuts or forges replies.
 //!
 //! It forwards HTTP messages, one connection to the far end for each connection that it accepts.
 
 use async_std::net::TcpListener;
 use async_std::task;
 use rf_base::Millis;
+use rf_protocol::relay::{AttemptEnd, LedgerAnswer, RelayReply};
 use rf_transport::h1::{Connection, ReadLimits, frame_request, frame_response};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -23,6 +24,14 @@
     Repeats,
     /// Ends the connection in the middle of the head of a reply.
     Cuts,
+    /// Replaces the status in answers of backend servers by 0.
+    ForgesStatus,
+    /// Adds a field whose name holds a line end to answers of backend servers.
+    ForgesName,
+    /// Adds a field whose value holds a line end to answers of backend servers.
+    ForgesValue,
+    /// Adds a second, wrong length to answers of backend servers.
+    ForgesLength,
 }
 
 /// A link; clones share its mode.
@@ -58,6 +67,29 @@
         Ok(())
     }
 
+    /// Returns the body of a reply between proxies, changed according to the mode.
+    fn forge(&self, body: Vec<u8>) -> Vec<u8> {
+        let Ok(mut reply) = rmp_serde::from_slice::<RelayReply>(&body) else {
+            return body;
+        };
+        let (RelayReply::Attempt(AttemptEnd::Answered(answer), ..)
+        | RelayReply::Query(LedgerAnswer::Ended(AttemptEnd::Answered(answer)))) = &mut reply
+        else {
+            return body;
+        };
+        let mut add = |name: &str, value: &str| {
+            answer.headers.push((name.to_owned(), value.to_owned()));
+        };
+        match self.mode.load(Ordering::Relaxed) {
+            mode if mode == LinkMode::ForgesStatus as u8 => answer.status = 0,
+            mode if mode == LinkMode::ForgesName as u8 => add("X: a\r\nX", "b"),
+            mode if mode == LinkMode::ForgesValue as u8 => add("X", "a\r\n\r\nb"),
+            mode if mode == LinkMode::ForgesLength as u8 => add("Content-Length", "1"),
+            _ => return body,
+        }
+        rmp_serde::to_vec(&reply).unwrap_or(body)
+    }
+
     /// Forwards the messages of one connection until one of its ends closes it.
     async fn forward(&self, mut near: Connection, far: SocketAddr) -> Option<()> {
         let limits = ReadLimits::default();
@@ -78,6 +110,7 @@
             let framing = frame_response(&head, "POST").ok()?;
             let body = far.read_body(framing, &limits).await.ok()?;
             head.headers.strip_hop_by_hop();
+            let body = self.forge(body);
             last_reply = head.encode(Some(body.len()));
             if self.is(LinkMode::Cuts) {
                 let middle = last_reply.len() / 2;
--- a/crates/transport/src/h1/framing.rs
+++ b/crates/transport/src/h1/framing.rs
@@ -75,7 +75,7 @@
         (true, None) if head.minor == 0 => Err(FramingError::Coding),
         // These fields may describe the response to GET or one that is not 304.
         _ if method == "HEAD" || head.status == 304 => Ok(Framing::Empty),
-        (is_chunked, length) if matches!(head.status, 100..=199 | 204) => {
+        (is_chunked, length) if head.is_bodiless() => {
             match is_chunked || length.is_some_and(|n| n > 0) {
                 true => Err(FramingError::Bodiless),
                 false => Ok(Framing::Empty),
--- a/crates/transport/src/h1/head.rs
+++ b/crates/transport/src/h1/head.rs
@@ -109,6 +109,20 @@
         });
     }
 
+    /// Checks the grammar of names and values. Fields that were parsed from a message follow it;
+    /// others may not.
+    fn verify(&self) -> Result<(), HeadError> {
+        for (name, value) in &self.0 {
+            if name.is_empty() || !name.bytes().all(is_token_byte) {
+                return Err(HeadError::Name);
+            }
+            if !value.chars().all(is_value_char) {
+                return Err(HeadError::Value);
+            }
+        }
+        Ok(())
+    }
+
     fn write(&self, bytes: &mut Vec<u8>) {
         for (name, value) in &self.0 {
             bytes.extend_from_slice(name.as_bytes());
@@ -119,6 +133,14 @@
     }
 }
 
+fn is_token_byte(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte)
+}
+
+fn is_value_char(c: char) -> bool {
+    c == '\t' || (c <= '\u{ff}' && !c.is_ascii_control())
+}
+
 /// Head of a request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RequestHead {
@@ -187,6 +209,12 @@
     /// The response switches to another protocol. Requests of this crate never ask for that.
     #[snafu(display("unrequested switch to another protocol"))]
     Switch,
+    /// The name of a field is not a token (RFC 9110, section 5.6.2).
+    #[snafu(display("malformed name of a field"))]
+    Name,
+    /// The value of a field holds a control character, or one that is not a byte.
+    #[snafu(display("malformed value of a field"))]
+    Value,
 }
 
 /// Head of a response.
@@ -218,6 +246,11 @@
         }
     }
 
+    /// Returns whether HTTP defines no body for responses with this status.
+    pub fn is_bodiless(&self) -> bool {
+        matches!(self.status, 100..=199 | 204 | 304)
+    }
+
     /// Returns whether the response is an interim one, which the final response follows.
     pub fn is_interim(&self) -> bool {
         (100..200).contains(&self.status)
@@ -232,7 +265,7 @@
         match self.status {
             SWITCHING_PROTOCOLS => Err(HeadError::Switch),
             status if !STATUSES.contains(&status) => Err(HeadError::Status { status }),
-            _ => Ok(()),
+            _ => self.headers.verify(),
         }
     }
 
