--- a/crates/rosemaryfork/tests/common/mod.rs
+++ b/crates/rosemaryfork/tests/common/mod.rs
@@ -3,8 +3,11 @@
 // Each test file uses only some of the helpers.
 #![allow(dead_code)]
 
+use async_std::net::TcpListener;
+use async_std::task;
 use http_types::{Method, Request, Url};
 use rf_base::{ConfigVersion, Millis, Verdict};
+use rf_daemon::control::event::Announcement;
 use rf_rollout::change::Document;
 use rf_standin::cluster::{Cluster, InstanceSpec, PREFIX, one_service};
 use rf_standin::quickstart::quick_settings;
@@ -67,6 +70,46 @@
     start(specs, &one_service(&[("v1", 100)])).await
 }
 
+/// Starts a cluster of `count` daemons without backend servers of their own; the test runs one with
+/// `serve`, which is announced to the first daemon.
+pub async fn start_beside<F>(
+    count: usize,
+    document: &Document,
+    serve: impl FnOnce(TcpListener) -> F,
+) -> Cluster
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let mut cluster = Cluster::start(quick_settings()).await.expect("cluster");
+    for i in 0..count {
+        let instance = InstanceSpec {
+            service: String::new(),
+            ..spec(i, "v1")
+        };
+        cluster.add(instance).expect("instance");
+    }
+    let address = cluster.address_of(0, 8000);
+    let listener = TcpListener::bind(address).await.expect("server address");
+    task::spawn(serve(listener));
+    cluster.wait_for_config(ConfigVersion(0)).await.expect("up");
+    let operator = cluster.instances[0].operator();
+    let announcement = Announcement {
+        service: "payments".into(),
+        version: "v1".into(),
+        address,
+        slots: 4,
+        ttl: Millis(60_000),
+    };
+    operator.announce(&announcement).await.expect("announced");
+    let accepted = operator.apply(document).await.expect("accepted");
+    cluster
+        .wait_for_config(accepted.counter)
+        .await
+        .expect("in force");
+    cluster.wait_for_servers(1).await.expect("announced");
+    cluster
+}
+
 /// Sends a request with the id `id` and an empty body; returns `None` if there is no response.
 pub async fn call(
     target: SocketAddr,
--- a/crates/rosemaryfork/tests/http.rs
+++ b/crates/rosemaryfork/tests/http.rs
@@ -7,10 +7,9 @@
 use common::{call, call_with, runs_of, spec, start_simple, verdict};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use http_types::Method;
-use rf_base::{ConfigVersion, Millis, Verdict};
-use rf_daemon::control::event::Announcement;
+use rf_base::{Millis, Verdict};
 use rf_rollout::change::Document;
-use rf_standin::cluster::{Cluster, InstanceSpec, KEY, PREFIX, one_service};
+use rf_standin::cluster::{Cluster, KEY, PREFIX, one_service};
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -97,35 +96,7 @@
 
 /// Starts a cluster of one daemon whose backend server is run by the test itself.
 async fn start_scripted(script: Script, document: &Document) -> Cluster {
-    let mut cluster = Cluster::start(rf_standin::quickstart::quick_settings())
-        .await
-        .expect("cluster");
-    let index = cluster
-        .add(InstanceSpec {
-            service: String::new(),
-            ..spec(0, "v1")
-        })
-        .expect("instance");
-    let address = cluster.address_of(index, 8000);
-    let listener = TcpListener::bind(address).await.expect("server address");
-    task::spawn(serve_script(listener, script));
-    cluster.wait_for_config(ConfigVersion(0)).await.expect("up");
-    let operator = cluster.instances[0].operator();
-    let announcement = Announcement {
-        service: "payments".into(),
-        version: "v1".into(),
-        address,
-        slots: 4,
-        ttl: Millis(60_000),
-    };
-    operator.announce(&announcement).await.expect("announced");
-    let accepted = operator.apply(document).await.expect("accepted");
-    cluster
-        .wait_for_config(accepted.counter)
-        .await
-        .expect("in force");
-    cluster.wait_for_servers(1).await.expect("announced");
-    cluster
+    common::start_beside(1, document, |listener| serve_script(listener, script)).await
 }
 
 /// Behaviour of the scripted backend server on each connection.
--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -1,5 +1,7 @@
 //! HTTP client with persistent connections.
 //!
+//! Requests are written by an HTTP library; responses are read by [`h1`](crate::h1).
+//!
 //! A connection returns to the pool only after the whole response has been read. Before it is
 //! reused it is polled once: if bytes are readable or the stream has ended, the two ends disagree
 //! about which requests have been answered, and the connection is dropped. Otherwise a late
@@ -8,17 +10,19 @@
 //! Every error has a [`Verdict`]: `NotRun` as long as no byte of the request can have left this
 //! process, `MayHaveRun` from then on.
 
+use crate::response;
 use crate::timer::timeout;
 use async_std::net::TcpStream;
-use futures_lite::AsyncReadExt;
 use futures_lite::future::poll_once;
-use http_types::{Method, Request, Response, StatusCode, headers};
+use futures_lite::{AsyncReadExt, io as async_io};
+use http_types::{Request, Response, StatusCode, headers};
 use rf_base::{Millis, Verdict};
 use snafu::Snafu;
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
 /// Error of sending a request or reading its response.
@@ -112,6 +116,9 @@
     stream: TcpStream,
     address: SocketAddr,
     is_reused: bool,
+    /// Whether the connection may carry another request; false from a request to the end of its
+    /// response.
+    is_reusable: Arc<AtomicBool>,
 }
 
 /// Response whose body has been read completely.
@@ -156,6 +163,7 @@
                     stream,
                     address,
                     is_reused: true,
+                    is_reusable: Arc::new(AtomicBool::new(true)),
                 });
             }
         }
@@ -183,11 +191,16 @@
             stream,
             address,
             is_reused: false,
+            is_reusable: Arc::new(AtomicBool::new(true)),
         })
     }
 
-    /// Returns a connection to the pool. Its last response must have been read completely.
+    /// Returns a connection to the pool. It is closed instead unless its last response has been read
+    /// completely, nothing followed it, and the peer keeps the connection open.
     pub fn put_back(&self, connection: Connection) {
+        if !connection.is_reusable.load(Ordering::Relaxed) {
+            return;
+        }
         let mut idle = self.lock_idle();
         let list = idle.entry(connection.address).or_default();
         if list.len() < self.settings.max_kept {
@@ -285,19 +298,15 @@
     /// Returns [`SendError::Broken`] if the connection fails, or if the response declares neither a
     /// length nor chunks, since the end of its body could not be distinguished from a truncation.
     pub async fn exchange(&self, request: Request) -> Result<Response> {
-        let head_only = request.method() == Method::Head;
-        let mut response = async_h1::connect(self.stream.clone(), request)
+        self.is_reusable.store(false, Ordering::Relaxed);
+        let method = request.method();
+        let mut stream = self.stream.clone();
+        async_io::copy(async_h1::client::Encoder::new(request), &mut stream)
             .await
             .map_err(|e| self.broken(e.to_string()))?;
-        repair_date(&mut response);
-        if head_only || has_no_body(response.status()) {
-            response.take_body();
-            return Ok(response);
-        }
-        if !has_declared_end(&response) {
-            return Err(self.broken("answer has neither length nor chunks".to_owned()));
-        }
-        Ok(response)
+        response::read(stream, method.as_ref(), self.is_reusable.clone())
+            .await
+            .map_err(|e| self.broken(e.to_string()))
     }
 
     /// Returns whether the connection has carried an earlier request.
@@ -361,32 +370,6 @@
     }
 }
 
-/// Repairs the `Date` header that the HTTP library adds to a response without one.
-///
-/// The library stores the whole header line, including the line end, as the value. Forwarded
-/// unchanged, the value would end the head of the response early and turn the rest of the head into
-/// body.
-fn repair_date(response: &mut Response) {
-    let Some(values) = response.header(headers::DATE) else {
-        return;
-    };
-    let text = values.last().as_str();
-    if !text.contains('\n') {
-        return;
-    }
-    let date = text.trim().trim_start_matches("date: ").to_owned();
-    response.insert_header(headers::DATE, date);
-}
-
-fn has_no_body(status: StatusCode) -> bool {
-    matches!(status, StatusCode::NoContent | StatusCode::NotModified) || status.is_informational()
-}
-
-fn has_declared_end(response: &Response) -> bool {
-    response.header(headers::CONTENT_LENGTH).is_some()
-        || response.header(headers::TRANSFER_ENCODING).is_some()
-}
-
 /// Returns whether the connection is open and nothing has arrived on it.
 async fn is_reusable(stream: &TcpStream) -> bool {
     let mut byte = [0];
--- a/crates/transport/src/h1/body.rs
+++ b/crates/transport/src/h1/body.rs
@@ -32,6 +32,8 @@
     CleanEnd,
     /// The body has ended.
     End,
+    /// The body is broken.
+    Failed,
 }
 
 /// Decoder of one body.
@@ -82,10 +84,28 @@
         &mut self,
         cx: &mut Context<'_>,
         connection: &mut Connection,
+    ) -> Poll<Result<usize>> {
+        let result = ready!(self.poll_state(cx, connection));
+        if result.is_err() {
+            self.state = State::Failed;
+        }
+        Poll::Ready(result)
+    }
+
+    /// Returns whether the body has ended and is whole.
+    pub fn is_ended(&self) -> bool {
+        matches!(self.state, State::End | State::Length(0))
+    }
+
+    fn poll_state(
+        &mut self,
+        cx: &mut Context<'_>,
+        connection: &mut Connection,
     ) -> Poll<Result<usize>> {
         loop {
             match self.state {
                 State::End | State::Length(0) => return Poll::Ready(Ok(0)),
+                State::Failed => return Poll::Ready(Err(malformed("broken body"))),
                 State::Length(left) | State::Chunk(left) => {
                     if !connection.has_buffered_bytes() && ready!(connection.poll_fill(cx))? == 0 {
                         return Poll::Ready(Err(ReadError::Truncated));
--- a/crates/transport/src/h1/connection.rs
+++ b/crates/transport/src/h1/connection.rs
@@ -17,7 +17,7 @@
 use std::time::Instant;
 
 /// Maximum number of header fields in one head.
-const MAX_HEADERS: usize = 96;
+const MAX_HEADERS: usize = 128;
 /// Maximum number of bytes per read.
 const READ_BYTES: usize = 16 * 1024;
 /// Maximum size of one segment of a body that is being read. A single growing buffer is copied as it
@@ -171,6 +171,11 @@
     /// Wraps an established connection and sets its socket options.
     pub fn new(stream: TcpStream) -> Connection {
         set_options(&stream);
+        Connection::with_options_unchanged(stream)
+    }
+
+    /// Wraps an established connection whose socket options are set already.
+    pub(crate) fn with_options_unchanged(stream: TcpStream) -> Connection {
         Connection {
             stream,
             buffer: Vec::new(),
@@ -443,7 +448,7 @@
     }
 
     /// Returns the bytes that have been read but not consumed.
-    pub(super) fn buffered(&self) -> &[u8] {
+    pub(crate) fn buffered(&self) -> &[u8] {
         &self.buffer[self.consumed..]
     }
 
@@ -504,7 +509,7 @@
         .ok();
 }
 
-pub(super) fn malformed(message: impl ToString) -> ReadError {
+pub(crate) fn malformed(message: impl ToString) -> ReadError {
     ReadError::Malformed {
         message: message.to_string(),
     }
--- a/crates/transport/tests/answers.rs
+++ b/crates/transport/tests/answers.rs
@@ -3,7 +3,9 @@
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use http_types::{Method, Request, Url};
 use rf_base::Millis;
+use rf_transport::Client;
 use rf_transport::h1::{Connection, ReadLimits, RequestHead, frame_response};
 use std::net::SocketAddr;
 
@@ -180,3 +182,18 @@
 async fn messages_read_with_their_bytes_preserved_follow_the_table() {
     check(read_h1).await;
 }
+
+async fn read_client(stream: &'static str) -> Reading {
+    let address = serve(stream).await;
+    let url = Url::parse(&format!("http://{address}/")).ok()?;
+    let request = Request::new(Method::Get, url);
+    let client = Client::default();
+    let sent = client.send(address, request, Millis(2000), 1000);
+    let sent = sent.await.ok()?;
+    Some((sent.status() as u16, String::from_utf8(sent.body).ok()?))
+}
+
+#[async_std::test]
+async fn answers_of_the_client_follow_the_table() {
+    check(read_client).await;
+}
