Bound the memory of replies that are read from other proxies

Cause: answers of the backend server share one budget, but replies of other proxies, to attempts and to queries of the ledger, had only the limit of a single message. The stated length of a compressed reply was allocated before anything was known of it.

Replies take heads, bodies and uncompressed bytes from a budget of a quarter of limits.memoryMb. A quarter of that is left to messages of up to 128 KiB, so that replies without end do not keep short ones of others from being read. A reply that exceeds it is lost, so the attempt may have run.

--- a/crates/config/src/proxy.rs
+++ b/crates/config/src/proxy.rs
@@ -220,6 +220,14 @@
         self.memory * 1024 * 1024 / 8
     }
 
+    /// Returns the maximum total size of replies of other proxies that are being read, in bytes.
+    ///
+    /// This is a quarter of the memory. With the requests and the answers of the backend server, it
+    /// leaves three eighths to everything else.
+    pub fn max_reply_bytes(&self) -> u64 {
+        self.memory * 1024 * 1024 / 4
+    }
+
     /// Returns the maximum number of open connections of callers.
     ///
     /// This is half of the file descriptors, because each such connection may need another one to
--- a/crates/proxy/src/compression.rs
+++ b/crates/proxy/src/compression.rs
@@ -4,7 +4,7 @@
 //! compressed only if a sample of it compresses well. Callers and backend servers see the original
 //! bytes.
 
-use rf_transport::h1::Headers;
+use rf_transport::h1::{ByteBudget, Headers};
 use snafu::Snafu;
 
 /// Header field that marks a compressed reply.
@@ -30,6 +30,9 @@
         /// Maximum length of a message, in bytes.
         limit: usize,
     },
+    /// The original bytes exceed the memory budget that they share with others.
+    #[snafu(display("the memory budget for messages is used up"))]
+    OutOfMemory,
     /// The encoding is unknown, or the data does not match it.
     #[snafu(display("malformed compressed reply: {message}"))]
     Malformed {
@@ -56,22 +59,29 @@
     (lz4_flex::compress(sample).len() as f64) < SAMPLE_LENGTH as f64 * MAX_RATIO
 }
 
-/// Returns the original bytes of a reply, which may be at most `limit` bytes long.
+/// Returns the original bytes of a reply, which may be at most `limit` bytes long. Takes those that
+/// were compressed from `budget`.
 ///
 /// # Errors
 ///
-/// Returns a [`DecompressionError`] if the reply is too long or malformed.
-pub fn decompress(bytes: Vec<u8>, headers: &Headers, limit: usize) -> Result<Vec<u8>> {
+/// Returns a [`DecompressionError`] if the reply is too long or malformed, or if the budget is
+/// exhausted.
+pub fn decompress<B: ByteBudget>(
+    bytes: Vec<u8>,
+    headers: &Headers,
+    limit: usize,
+    budget: &B,
+) -> Result<Vec<u8>> {
     match headers.get(ENCODING_HEADER) {
         None => Ok(bytes),
-        Some(LZ4_ENCODING) => decompress_lz4(&bytes, limit),
+        Some(LZ4_ENCODING) => decompress_lz4(&bytes, limit, budget),
         Some(other) => Err(DecompressionError::Malformed {
             message: format!("unknown encoding {other}"),
         }),
     }
 }
 
-fn decompress_lz4(bytes: &[u8], limit: usize) -> Result<Vec<u8>> {
+fn decompress_lz4<B: ByteBudget>(bytes: &[u8], limit: usize, budget: &B) -> Result<Vec<u8>> {
     let malformed = |error: lz4_flex::block::DecompressError| DecompressionError::Malformed {
         message: error.to_string(),
     };
@@ -80,5 +90,8 @@
     if length > limit {
         return Err(DecompressionError::TooLong { length, limit });
     }
+    if !budget.try_take(length) {
+        return Err(DecompressionError::OutOfMemory);
+    }
     lz4_flex::decompress(block, length).map_err(malformed)
 }
--- a/crates/proxy/src/control/driver.rs
+++ b/crates/proxy/src/control/driver.rs
@@ -147,7 +147,7 @@
         let shared = self.shared.clone();
         let events = self.events.clone();
         task::spawn(async move {
-            let sending = relay::send(&shared.peer_pool, target.address, &request);
+            let sending = relay::send(&shared, target.address, &request);
             let limit = match kind {
                 MessageKind::Fetch => TABLE_TIMEOUT,
                 _ => MESSAGE_TIMEOUT,
--- a/crates/proxy/src/departures.rs
+++ b/crates/proxy/src/departures.rs
@@ -241,7 +241,7 @@
     copies: Sender<Copy>,
 ) {
     let request = RelayRequest::Departure(shared.instance_id, departure);
-    let sending = relay::send(&shared.peer_pool, address, &request);
+    let sending = relay::send(&shared, address, &request);
     let result = match timeout(MAX_WAIT.duration(), sending).await {
         Ok(Ok((RelayReply::Done, _))) => {
             copies.try_send(Copy::Proxy).ok();
--- a/crates/proxy/src/ingress.rs
+++ b/crates/proxy/src/ingress.rs
@@ -12,7 +12,7 @@
 use crate::gate::{CallEnd, Parent};
 use crate::listener::accept;
 use crate::quota::{self, QuotaDecision};
-use crate::shared::{MemoryReservation, Shared};
+use crate::shared::Shared;
 use crate::view::{ServiceView, View};
 use async_std::future::timeout;
 use async_std::net::TcpListener;
@@ -20,7 +20,7 @@
 use rf_base::{Millis, ServiceName, Verdict};
 use rf_config::{Caller, PathRoute};
 use rf_protocol::relay::{Payload, ServerAnswer};
-use rf_transport::h1::{Headers, RequestHead, ResponseHead};
+use rf_transport::h1::{Headers, MemoryReservation, RequestHead, ResponseHead};
 use std::sync::Arc;
 use tracing::{Instrument, debug_span, info};
 
--- a/crates/proxy/src/quota/claims.rs
+++ b/crates/proxy/src/quota/claims.rs
@@ -90,7 +90,7 @@
 ) -> Result<Vec<QuotaGrant>> {
     let from = shared.instance_id;
     let request = RelayRequest::Quota(Box::new(QuotaRequest { from, claims }));
-    let sending = relay::send(&shared.peer_pool, address, &request);
+    let sending = relay::send(shared, address, &request);
     let result = match timeout(REPLY_TIMEOUT.duration(), sending).await {
         Ok(Ok((RelayReply::Quota(reply), bytes))) => {
             let is_near = shared.view.load().zone_peers.contains(&address);
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -19,7 +19,7 @@
 };
 use rf_traffic::placement::OfferReport;
 use rf_transport::h1::{
-    Connection, Headers, Pool, ReadLimits, RequestHead, ResponseHead, frame_response,
+    Connection, Headers, MemoryReservation, ReadLimits, RequestHead, ResponseHead, frame_response,
 };
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -112,17 +112,17 @@
 /// # Errors
 ///
 /// Returns a [`RelayError`] that says whether the other proxy may have seen the message.
-pub async fn send(
-    pool: &Pool,
+pub async fn send<D>(
+    shared: &Shared<D>,
     address: SocketAddr,
     message: &RelayRequest,
 ) -> Result<(RelayReply, u64)> {
     let body = encode(message)?;
-    let connection = pool.checkout(address, MAX_REUSE_IDLE).await;
+    let connection = shared.peer_pool.checkout(address, MAX_REUSE_IDLE).await;
     let mut connection = connection.map_err(|source| RelayError::Unconnected { source })?;
     write(&mut connection, address, &body).await?;
-    let (reply, length) = read(&mut connection).await?;
-    pool.put_back(address, connection);
+    let (reply, length) = read(shared, &mut connection).await?;
+    shared.peer_pool.put_back(address, connection);
     Ok((reply, body.len() as u64 + length))
 }
 
@@ -172,17 +172,19 @@
 
 /// Reads the reply to `attempt`, so that a reply to an earlier message on the connection is not
 /// taken for it. Replies of proxies of earlier releases name no attempt.
-async fn read_attempt_reply(
+async fn read_attempt_reply<D>(
+    shared: &Shared<D>,
     connection: &mut Connection,
     attempt: AttemptId,
 ) -> Result<(RelayReply, u64)> {
-    let head = read_head(connection).await?;
+    let memory = shared.reply_memory.empty_reservation();
+    let head = read_head(connection, &memory).await?;
     let named = head.headers.get(ATTEMPT);
     if let Some(named) = named.filter(|named| *named != attempt.to_string()) {
         let message = format!("reply to attempt {named} instead of {attempt}");
         return Err(malformed(message));
     }
-    let reply = read_content(connection, head).await?;
+    let reply = read_content(connection, head, &memory).await?;
     match reply.0 {
         RelayReply::Attempt(..) | RelayReply::Continue => Ok(reply),
         _ => Err(malformed("reply of an unexpected kind")),
@@ -190,26 +192,33 @@
 }
 
 /// Reads a reply; returns it with its encoded size in bytes.
-async fn read(connection: &mut Connection) -> Result<(RelayReply, u64)> {
-    let head = read_head(connection).await?;
-    read_content(connection, head).await
+async fn read<D>(shared: &Shared<D>, connection: &mut Connection) -> Result<(RelayReply, u64)> {
+    let memory = shared.reply_memory.empty_reservation();
+    let head = read_head(connection, &memory).await?;
+    read_content(connection, head, &memory).await
 }
 
-async fn read_head(connection: &mut Connection) -> Result<ResponseHead> {
+async fn read_head(
+    connection: &mut Connection,
+    memory: &MemoryReservation,
+) -> Result<ResponseHead> {
     let limits = message_limits();
-    connection.read_response(&limits).await.map_err(lost)
+    let reading = connection.read_response_budgeted(&limits, memory);
+    reading.await.map_err(lost)
 }
 
 async fn read_content(
     connection: &mut Connection,
     head: ResponseHead,
+    memory: &MemoryReservation,
 ) -> Result<(RelayReply, u64)> {
     let limits = message_limits();
     let framing = frame_response(&head, "POST").map_err(malformed)?;
-    let body = connection.read_body(framing, &limits).await.map_err(lost)?;
+    let reading = connection.read_budgeted(framing, &limits, memory);
+    let body = reading.await.map_err(lost)?;
     let length = body.len() as u64;
-    let body =
-        compression::decompress(body, &head.headers, MAX_MESSAGE_BYTES).map_err(malformed)?;
+    let body = compression::decompress(body, &head.headers, MAX_MESSAGE_BYTES, memory)
+        .map_err(malformed)?;
     match head.status {
         200 => Ok((decode(&body)?, length)),
         status => Err(malformed(format!("status {status}"))),
@@ -255,13 +264,13 @@
     count("request", body.len() as u64);
     let exchange = async {
         write(&mut connection, target.relay, &body).await?;
-        let reply = read_attempt_reply(&mut connection, key.id).await?;
+        let reply = read_attempt_reply(shared, &mut connection, key.id).await?;
         match (&reply, long_body) {
             ((RelayReply::Continue, _), Some(long_body)) => {
                 count("request", long_body.len() as u64);
                 let message = encode(&RelayRequest::Body(long_body))?;
                 write_paced(shared, &mut connection, target.relay, &message).await?;
-                read_attempt_reply(&mut connection, key.id).await
+                read_attempt_reply(shared, &mut connection, key.id).await
             }
             _ => Ok(reply),
         }
@@ -363,7 +372,7 @@
 async fn query_until_known<D>(shared: &Shared<D>, target: &Target, key: &AttemptKey) -> AttemptEnd {
     let mut failed_queries = 0;
     loop {
-        match query_ledger(target.relay, key).await {
+        match query_ledger(shared, target.relay, key).await {
             Ok(LedgerAnswer::Ended(end)) => {
                 count_query(shared, "ended");
                 return end;
@@ -406,13 +415,17 @@
 }
 
 /// Queries the ledger on a new connection, since those in the pool may have stalled as well.
-async fn query_ledger(address: SocketAddr, key: &AttemptKey) -> Result<LedgerAnswer> {
+async fn query_ledger<D>(
+    shared: &Shared<D>,
+    address: SocketAddr,
+    key: &AttemptKey,
+) -> Result<LedgerAnswer> {
     let querying = async {
         let connection = Connection::open(address, QUERY_TIMEOUT).await;
         let mut connection = connection.map_err(|source| RelayError::Unconnected { source })?;
         let body = encode(&RelayRequest::Query(*key))?;
         write(&mut connection, address, &body).await?;
-        read(&mut connection).await
+        read(shared, &mut connection).await
     };
     match async_std::future::timeout(QUERY_TIMEOUT.duration(), querying).await {
         Ok(Ok((RelayReply::Query(answer), _))) => Ok(answer),
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -19,7 +19,7 @@
     CallerAges, DelayTimes, HedgeLimit, Hedging, Link, LocalServerState, Placement, RetryBudget,
     RetryDelays, StrikeTable, ToldConditions, WeightedSplit,
 };
-use rf_transport::h1::{ByteBudget, Pool, PoolSettings};
+use rf_transport::h1::{MemoryBudget, Pool, PoolSettings};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -85,6 +85,8 @@
     pub request_memory: MemoryBudget,
     /// Memory budget of the answers that are being read from the backend server.
     pub answer_memory: MemoryBudget,
+    /// Memory budget of the replies that are being read from other proxies.
+    pub reply_memory: MemoryBudget,
     /// Organisations that have metrics of their own.
     pub organisation_labels: OrganisationLabels,
     placement: Mutex<Placement>,
@@ -167,6 +169,7 @@
             store_era: AtomicU64::new(0),
             request_memory: MemoryBudget::new(settings.limits.max_request_bytes()),
             answer_memory: MemoryBudget::new(settings.limits.max_answer_bytes()),
+            reply_memory: MemoryBudget::with_reserve(settings.limits.max_reply_bytes()),
             organisation_labels: OrganisationLabels::default(),
             placement: Mutex::new(Placement::with_settings(fork(), placement)),
             shares: Mutex::new(WeightedSplit::new(fork())),
@@ -422,57 +425,3 @@
         self.flag(topic).store(is_followed, Ordering::Relaxed);
     }
 }
-
-/// Budget for the bytes of messages that are held in memory.
-#[derive(Debug)]
-pub struct MemoryBudget {
-    limit: u64,
-    held: Arc<AtomicU64>,
-}
-
-/// Bytes of a [`MemoryBudget`] that are reserved until this is dropped.
-#[derive(Debug)]
-pub struct MemoryReservation {
-    held: Arc<AtomicU64>,
-    limit: u64,
-    bytes: AtomicU64,
-}
-
-impl ByteBudget for MemoryReservation {
-    fn try_take(&self, bytes: usize) -> bool {
-        let bytes = bytes as u64;
-        self.bytes.fetch_add(bytes, Ordering::Relaxed);
-        self.held.fetch_add(bytes, Ordering::Relaxed) + bytes <= self.limit
-    }
-}
-
-impl MemoryBudget {
-    fn new(limit: u64) -> MemoryBudget {
-        MemoryBudget {
-            limit,
-            held: Arc::default(),
-        }
-    }
-
-    /// Reserves `bytes`; returns `None` if that would exceed the budget.
-    pub fn reserve(&self, bytes: u64) -> Option<MemoryReservation> {
-        let reservation = self.empty_reservation();
-        reservation.try_take(bytes as usize).then_some(reservation)
-    }
-
-    /// Returns a reservation of zero bytes that grows as bytes are read.
-    pub fn empty_reservation(&self) -> MemoryReservation {
-        MemoryReservation {
-            held: self.held.clone(),
-            limit: self.limit,
-            bytes: AtomicU64::new(0),
-        }
-    }
-}
-
-impl Drop for MemoryReservation {
-    fn drop(&mut self) {
-        let bytes = self.bytes.load(Ordering::Relaxed);
-        self.held.fetch_sub(bytes, Ordering::Relaxed);
-    }
-}
--- a/crates/proxy/tests/endless.rs
+++ b/crates/proxy/tests/endless.rs
@@ -4,16 +4,6 @@
 use rf_standin::users::{Endless, Mesh, MeshSettings, ServerBehaviour};
 use std::time::{Duration, Instant};
 
-const KINDS: [Endless; 8] = [
-    Endless::Line,
-    Endless::Fields,
-    Endless::Interim,
-    Endless::Body,
-    Endless::Chunks,
-    Endless::Extension,
-    Endless::Trailers,
-    Endless::Stray,
-];
 /// Number of slots of the backend server.
 const SLOTS: u32 = 16;
 /// Deadline that callers give.
@@ -40,7 +30,7 @@
 async fn endless_answer_is_cut_off_and_not_delivered_to_the_caller() {
     let mesh = start(95).await;
     let server = &mesh.instances[0].server;
-    for (number, kind) in KINDS.into_iter().enumerate() {
+    for (number, kind) in Endless::ALL.into_iter().enumerate() {
         server.set_behaviour(ServerBehaviour::Endless(kind));
         let request = format!("r-{number}");
         let start = Instant::now();
--- a/crates/rosemaryfork/tests/common/machines.rs
+++ b/crates/rosemaryfork/tests/common/machines.rs
@@ -28,8 +28,34 @@
 /// Interval at which an awaited condition is checked.
 pub const POLL: Duration = Duration::from_millis(10);
 
+/// What the machines of a mesh have.
+#[derive(Clone, Copy)]
+pub struct Equipment {
+    /// Service of the backend server of each machine.
+    pub services: [&'static str; 3],
+    /// Slots of each backend server.
+    pub slots: u32,
+    /// Memory of each proxy, in MiB.
+    pub memory: u64,
+    /// Port at which the first proxy is reached by others, if it is not that on which it listens.
+    pub relay_public: Option<u16>,
+}
+
+impl Default for Equipment {
+    fn default() -> Self {
+        Equipment {
+            services: ["payments"; 3],
+            slots: 4,
+            memory: 256,
+            relay_public: None,
+        }
+    }
+}
+
 /// A proxy process beside a backend server.
 pub struct Machine {
+    pub service: &'static str,
+    pub slots: u32,
     pub settings: ProxySettings,
     pub folder: PathBuf,
     pub server: UsersServer,
@@ -55,7 +81,7 @@
     pub async fn announce(&self, seq: u64, born: u64, state: &str) -> Option<u16> {
         let body = json!({
             "address": self.server.address(), "born": born,
-            "info": { "service": "payments", "version": "v1", "zone": "zone-a", "slots": 4 },
+            "info": { "service": self.service, "version": "v1", "zone": "zone-a", "slots": self.slots },
             "status": { "state": state, "seq": seq, "coldRemaining": "0ms" },
         });
         self.call("PUT", body.to_string().into_bytes()).await
@@ -100,15 +126,23 @@
 
     /// Starts the machines.
     pub async fn start_idle(network: u8) -> Mesh {
+        Mesh::start_with(network, Equipment::default()).await
+    }
+
+    /// Starts the machines with other equipment.
+    pub async fn start_with(network: u8, equipment: Equipment) -> Mesh {
         let store = UsersStore::start().await.expect("the store starts");
         store.write("config", "main", config());
         let mut machines = Vec::new();
-        for number in 1..=3 {
+        for (number, service) in (1..).zip(equipment.services) {
             let ip = IpAddr::V4(Ipv4Addr::new(127, 11, network, number));
-            let name = format!("payments-{number}");
+            let name = format!("{service}-{number}");
             let id = format!("i-{name}");
             let server = UsersServer::start(&id, SocketAddr::new(ip, 8080));
-            let settings = proxy_settings(&name, "payments", ip, store.address());
+            let mut settings = proxy_settings(&name, service, ip, store.address());
+            settings.limits.memory = equipment.memory;
+            let relay_public = equipment.relay_public.filter(|_| number == 1);
+            settings.listen.relay_public = relay_public.map(|port| SocketAddr::new(ip, port));
             let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!(
                 "departures-{}-{network}-{number}",
                 std::process::id()
@@ -117,6 +151,8 @@
             let text = serde_json::to_string(&settings).expect("settings encode");
             std::fs::write(folder.join("settings.json"), text).expect("settings are written");
             let mut machine = Machine {
+                service,
+                slots: equipment.slots,
                 settings,
                 folder,
                 server: server.await.expect("the server starts"),
@@ -153,23 +189,29 @@
     }
 }
 
-fn route(name: &str, prefix: &str, kind: &str) -> serde_json::Value {
+fn route(name: &str, prefix: &str, kind: &str, service: &str) -> serde_json::Value {
     json!({
         "name": name, "pathPrefix": prefix, "kind": kind, "timeout": "1500ms",
-        "targetLatency": "400ms", "priority": 1, "maxAttempts": 3, "service": "payments",
+        "targetLatency": "400ms", "priority": 1, "maxAttempts": 3, "service": service,
     })
 }
 
 fn config() -> serde_json::Value {
     json!({
         "version": "r2",
-        "services": [{ "name": "payments", "maxConnections": 100 }],
+        "services": [
+            { "name": "payments", "maxConnections": 100 },
+            { "name": "records", "maxConnections": 100 },
+            { "name": "archive", "maxConnections": 100 },
+        ],
         "limits": {
             "maxHeaderBytes": 16384, "maxBodyBytes": 1_048_576,
             "headerTimeout": "2s", "idleTimeout": "15s",
         },
         "virtualHosts": [{ "host": "mesh.example", "paths": [
-            route("pay", "/pay/", "unsafe"), route("read", "/read/", "safe"),
+            route("pay", "/pay/", "unsafe", "payments"),
+            route("read", "/read/", "safe", "payments"),
+            route("archive", "/archive/", "safe", "archive"),
         ] }],
     })
 }
--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -1,15 +1,17 @@
-//! Stand-in for a link between two processes of the mesh that mixes up, cuts or forges replies.
+//! Stand-in for a link between two processes of the mesh that mixes up, cuts or forges replies, or
+//! sends replies that never end.
 //!
 //! It forwards HTTP messages, one connection to the far end for each connection that it accepts.
 
+use crate::raw_answer::Endless;
 use async_std::net::TcpListener;
 use async_std::task;
 use rf_base::Millis;
 use rf_protocol::relay::{AttemptEnd, LedgerAnswer, RelayReply};
 use rf_transport::h1::{Connection, ReadLimits, frame_request, frame_response};
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 
 /// Timeout for connecting to the far end.
 const CONNECT_TIMEOUT: Millis = Millis(500);
@@ -38,6 +40,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Link {
     mode: Arc<AtomicU8>,
+    endless: Arc<Mutex<Option<Endless>>>,
 }
 
 impl Link {
@@ -46,6 +49,15 @@
         self.mode.store(mode as u8, Ordering::Relaxed);
     }
 
+    /// Sets what is sent without end in place of each reply from now on.
+    pub fn set_endless(&self, endless: Option<Endless>) {
+        *self.endless.lock().unwrap_or_else(PoisonError::into_inner) = endless;
+    }
+
+    fn endless(&self) -> Option<Endless> {
+        *self.endless.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn is(&self, mode: LinkMode) -> bool {
         self.mode.load(Ordering::Relaxed) == mode as u8
     }
@@ -100,6 +112,10 @@
             let framing = frame_request(&head).ok()?;
             let body = near.read_body(framing, &limits).await.ok()?;
             head.headers.strip_hop_by_hop();
+            if let Some(endless) = self.endless() {
+                endless.send(&mut near.writer(), "").await;
+                return None;
+            }
             if self.is(LinkMode::Repeats) {
                 near.write(&last_reply).await.ok()?;
             }
--- a/crates/standin/src/users/mod.rs
+++ b/crates/standin/src/users/mod.rs
@@ -6,6 +6,7 @@
 pub mod server;
 pub mod store;
 
+pub use crate::raw_answer::Endless;
 pub use mesh::{Mesh, MeshSettings};
-pub use server::{Endless, ServerBehaviour, UsersServer};
+pub use server::{ServerBehaviour, UsersServer};
 pub use store::{StoreFault, UsersStore};
--- a/crates/standin/src/users/server.rs
+++ b/crates/standin/src/users/server.rs
@@ -3,7 +3,7 @@
 //! It records every request, and answers, fails or violates the protocol as its behaviour says. A
 //! crash of its process is simulated by closing its connections and its port for a while.
 
-use crate::raw_answer::{AnswerStart, RawAnswer};
+use crate::raw_answer::{AnswerStart, Endless, RawAnswer};
 use async_std::net::TcpListener;
 use async_std::task;
 use futures_lite::FutureExt;
@@ -63,55 +63,6 @@
     CrashesOn(String),
 }
 
-/// Part of a response that never ends.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Endless {
-    /// A header line.
-    Line,
-    /// The header section.
-    Fields,
-    /// Interim (1xx) responses before the final one.
-    Interim,
-    /// A body without a length, which would end with the connection.
-    Body,
-    /// The chunks of a chunked body.
-    Chunks,
-    /// The extension of one chunk.
-    Extension,
-    /// The trailers of a chunked body.
-    Trailers,
-    /// A response without a length that belongs to another request.
-    Stray,
-}
-
-impl Endless {
-    /// Returns the bytes that are sent first and those that are then sent repeatedly.
-    fn bytes(self, request: &str) -> (String, Vec<u8>) {
-        let named = format!(
-            "HTTP/1.1 200 OK\r\nX-Rosemaryfork-Request-Id: {request}\r\n\
-             X-Rosemaryfork-Response-Signature: s.1\r\n"
-        );
-        let chunked = format!("{named}Transfer-Encoding: chunked\r\n\r\n");
-        let filler = vec![b'x'; 16 * 1024];
-        match self {
-            Endless::Line => (format!("{named}X-Line: "), filler),
-            Endless::Fields => (named, b"X-Field: x\r\n".repeat(1000)),
-            Endless::Interim => (
-                String::new(),
-                b"HTTP/1.1 102 Processing\r\n\r\n".repeat(500),
-            ),
-            Endless::Body => (format!("{named}\r\n"), filler),
-            Endless::Chunks => (chunked, b"1\r\nx\r\n".repeat(2000)),
-            Endless::Extension => (format!("{chunked}1;"), filler),
-            Endless::Trailers => (format!("{chunked}0\r\n"), b"X-Field: x\r\n".repeat(1000)),
-            Endless::Stray => (
-                "HTTP/1.1 200 OK\r\nX-Rosemaryfork-Request-Id: other\r\n\r\n".to_owned(),
-                filler,
-            ),
-        }
-    }
-}
-
 /// What the backend server says about itself in every answer.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Statements {
@@ -427,7 +378,7 @@
             return false;
         }
         if let ServerBehaviour::Endless(endless) = behaviour {
-            send_without_end(connection, endless.bytes(request)).await;
+            endless.send(&mut connection.writer(), request).await;
             self.lock().arrivals[number].was_cut = true;
             return false;
         }
@@ -496,14 +447,6 @@
     }
 }
 
-/// Sends bytes until the peer closes the connection.
-async fn send_without_end(connection: &mut Connection, (first, again): (String, Vec<u8>)) {
-    let mut is_open = connection.write(first.as_bytes()).await.is_ok();
-    while is_open {
-        is_open = connection.write(&again).await.is_ok();
-    }
-}
-
 /// Returns the body of a correct response to a request.
 pub fn response_body(request: &str) -> String {
     format!("answer to {request}")
--- a/crates/standin/src/users/store.rs
+++ b/crates/standin/src/users/store.rs
@@ -6,6 +6,7 @@
 //! revision is compacted or, after a restore, in the future. Every response names the era of the
 //! store, which increases with each restore from a backup.
 
+use crate::raw_answer::Endless;
 use async_std::net::TcpListener;
 use async_std::task;
 use rf_base::Millis;
@@ -41,6 +42,8 @@
     Slow(Millis),
     /// Answers with status 200 and a body that is not JSON.
     Nonsense,
+    /// Sends a part of a response without end.
+    Endless(Endless),
 }
 
 #[derive(Clone, Debug)]
@@ -195,6 +198,10 @@
             };
             let era = self.lock().era;
             let Some((status, body)) = self.answer(&head, &body).await else {
+                let fault = self.lock().fault;
+                if let StoreFault::Endless(endless) = fault {
+                    endless.send(&mut connection.writer(), "").await;
+                }
                 return;
             };
             if self.lock().era != era {
@@ -222,6 +229,8 @@
             StoreFault::TooMany => return Some((429, Vec::new())),
             StoreFault::Nonsense => return Some((200, b"<html>".to_vec())),
             StoreFault::Reset => return None,
+            // Sent in place of the answer.
+            StoreFault::Endless(_) => return None,
             StoreFault::Silent => futures_lite::future::pending().await,
             StoreFault::Slow(time) => task::sleep(time.duration()).await,
             StoreFault::None | StoreFault::LoseAnswers => {}
--- a/crates/transport/src/h1/connection.rs
+++ b/crates/transport/src/h1/connection.rs
@@ -1,6 +1,7 @@
 //! A TCP connection that carries HTTP/1.1 messages.
 
 use super::body::{BodyDecoder, MAX_CHUNK_LINE_BYTES};
+use super::budget::{ByteBudget, UnlimitedBytes};
 use super::framing::Framing;
 use super::head::{Headers, RequestHead, ResponseHead};
 use super::history::RequestHistory;
@@ -54,22 +55,6 @@
     }
 }
 
-/// Memory budget that several messages share.
-pub trait ByteBudget {
-    /// Takes `bytes` from the budget; returns `false` if this exceeds it.
-    fn try_take(&self, bytes: usize) -> bool;
-}
-
-/// Unlimited budget, for readers whose [`ReadLimits`] suffice.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct UnlimitedBytes;
-
-impl ByteBudget for UnlimitedBytes {
-    fn try_take(&self, _bytes: usize) -> bool {
-        true
-    }
-}
-
 /// Destination of a body, which takes its bytes from a budget.
 struct Sink<'a, B> {
     /// Segments that are full, in order.
@@ -129,8 +114,8 @@
         /// Size limit, in bytes.
         limit: usize,
     },
-    /// The body exceeds the memory budget that it shares with others.
-    #[snafu(display("the memory budget for bodies is used up"))]
+    /// The message exceeds the memory budget that it shares with others.
+    #[snafu(display("the memory budget for messages is used up"))]
     OutOfMemory,
     /// The body exceeds its limit.
     #[snafu(display("body exceeds {limit} bytes"))]
@@ -356,6 +341,20 @@
     /// Returns a [`ReadError`]; [`ReadError::Closed`] if the peer closed the connection before the
     /// first byte.
     pub async fn read_response(&mut self, limits: &ReadLimits) -> Result<ResponseHead> {
+        self.read_response_budgeted(limits, &UnlimitedBytes).await
+    }
+
+    /// Reads a head like [`Connection::read_response`] and takes the bytes that arrive meanwhile from
+    /// `budget`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the same errors, and [`ReadError::OutOfMemory`] if the budget is exhausted.
+    pub async fn read_response_budgeted<B: ByteBudget>(
+        &mut self,
+        limits: &ReadLimits,
+        budget: &B,
+    ) -> Result<ResponseHead> {
         let mut interim = 0;
         loop {
             if self.has_buffered_bytes()
@@ -372,11 +371,15 @@
                 }
                 continue;
             }
-            self.fill_head(limits).await?;
+            let read = self.fill_head(limits).await?;
+            if !budget.try_take(read) {
+                return Err(ReadError::OutOfMemory);
+            }
         }
     }
 
-    async fn fill_head(&mut self, limits: &ReadLimits) -> Result<()> {
+    /// Reads more of a head and returns the number of bytes.
+    async fn fill_head(&mut self, limits: &ReadLimits) -> Result<usize> {
         if self.buffered().len() >= limits.head {
             return Err(ReadError::HeadTooLarge { limit: limits.head });
         }
@@ -384,7 +387,7 @@
         match self.fill().await? {
             0 if is_start => Err(ReadError::Closed),
             0 => Err(ReadError::Truncated),
-            _ => Ok(()),
+            read => Ok(read),
         }
     }
 
--- a/crates/transport/src/h1/mod.rs
+++ b/crates/transport/src/h1/mod.rs
@@ -5,6 +5,7 @@
 //! parsed by `httparse`; only [`framing`] and [`body`] determine where a body ends.
 
 pub mod body;
+pub mod budget;
 pub mod connection;
 pub mod framing;
 pub mod head;
@@ -12,7 +13,8 @@
 pub mod pool;
 
 pub use body::BodyDecoder;
-pub use connection::{ByteBudget, Connection, ReadError, ReadLimits, UnlimitedBytes};
+pub use budget::{ByteBudget, MemoryBudget, MemoryReservation, UnlimitedBytes};
+pub use connection::{Connection, ReadError, ReadLimits};
 pub use framing::{Framing, FramingError, frame_request, frame_response};
 pub use head::{HeadError, Headers, RequestHead, ResponseHead};
 pub use history::RequestHistory;
