Bound the memory of answers of the store by limits.memoryMb

Cause: the limit was that of a single answer, and no figure of the settings entered it.

All calls of a process share a quarter of the memory (ObjectClient::with_memory), heads included. An answer beyond it is lost, as one cut short is.

The three tests of endless.rs now run with 64 MiB instead of 160, which is stricter.

--- a/crates/config/src/proxy.rs
+++ b/crates/config/src/proxy.rs
@@ -222,12 +222,19 @@
 
     /// Returns the maximum total size of replies of other proxies that are being read, in bytes.
     ///
-    /// This is a quarter of the memory. With the requests and the answers of the backend server, it
-    /// leaves three eighths to everything else.
+    /// This is a quarter of the memory, like that for requests, since every request may have a reply.
     pub fn max_reply_bytes(&self) -> u64 {
         self.memory * 1024 * 1024 / 4
     }
 
+    /// Returns the maximum total size of answers of the store that are being read, in bytes.
+    ///
+    /// This is a quarter of the memory. With the bounds above, an eighth is left to everything else
+    /// even if the store, the backend server and other proxies all send without end.
+    pub fn max_store_bytes(&self) -> u64 {
+        self.memory * 1024 * 1024 / 4
+    }
+
     /// Returns the maximum number of open connections of callers.
     ///
     /// This is half of the file descriptors, because each such connection may need another one to
--- a/crates/rosemaryfork/src/proxy.rs
+++ b/crates/rosemaryfork/src/proxy.rs
@@ -55,7 +55,8 @@
     if let Err(error) = forward_signals(sender) {
         return refuse(&format!("cannot handle signals: {error}"));
     }
-    let source = PlatformSource::new(ObjectClient::new(settings.store));
+    let store = ObjectClient::new(settings.store).with_memory(settings.limits.max_store_bytes());
+    let source = PlatformSource::new(store);
     task::block_on(async {
         let proxy = Proxy::start(settings, PlatformDialect, source, Clock::system());
         match proxy.await {
--- a/crates/rosemaryfork/tests/endless.rs
+++ b/crates/rosemaryfork/tests/endless.rs
@@ -18,7 +18,7 @@
 use std::time::{Duration, Instant};
 
 /// Memory of each proxy, in MiB.
-const MEMORY: u64 = 160;
+const MEMORY: u64 = 64;
 /// Slots of each backend server.
 const SLOTS: u32 = 64;
 /// Time that a caller gives its request.
--- a/crates/standin/src/users/mesh.rs
+++ b/crates/standin/src/users/mesh.rs
@@ -342,7 +342,9 @@
     ///
     /// Returns an error if it cannot be started.
     pub async fn start_proxy(&mut self) -> io::Result<()> {
-        let source = PlatformSource::new(ObjectClient::new(self.settings.store));
+        let memory = self.settings.limits.max_store_bytes();
+        let store = ObjectClient::new(self.settings.store).with_memory(memory);
+        let source = PlatformSource::new(store);
         let starting = Proxy::start(
             self.settings.clone(),
             PlatformDialect,
--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -13,8 +13,8 @@
 use crate::response;
 use crate::timer::timeout;
 use async_std::net::TcpStream;
+use futures_lite::AsyncReadExt;
 use futures_lite::future::poll_once;
-use futures_lite::{AsyncReadExt, io as async_io};
 use http_types::{Request, Response, StatusCode, headers};
 use rf_base::{Millis, Verdict};
 use snafu::Snafu;
@@ -301,7 +301,7 @@
         self.is_reusable.store(false, Ordering::Relaxed);
         let method = request.method();
         let mut stream = self.stream.clone();
-        async_io::copy(async_h1::client::Encoder::new(request), &mut stream)
+        futures_lite::io::copy(async_h1::client::Encoder::new(request), &mut stream)
             .await
             .map_err(|e| self.broken(e.to_string()))?;
         response::read(stream, method.as_ref(), self.is_reusable.clone())
--- a/crates/transport/src/h1/budget.rs
+++ b/crates/transport/src/h1/budget.rs
@@ -6,13 +6,13 @@
 /// Length up to which a message is short, in bytes. It covers heads of the maximum size.
 const SHORT_BYTES: u64 = 128 * 1024;
 
-/// Memory budget that several messages share.
+/// Budget that the bytes of a message are taken from.
 pub trait ByteBudget {
     /// Takes `bytes` from the budget; returns `false` if this exceeds it.
     fn try_take(&self, bytes: usize) -> bool;
 }
 
-/// Unlimited budget, for readers whose [`ReadLimits`] suffice.
+/// Unlimited budget, for readers whose [`ReadLimits`](super::ReadLimits) suffice.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct UnlimitedBytes;
 
