--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -7,6 +7,7 @@
 mod http;
 mod json;
 mod mesh;
+mod reader;
 mod record;
 mod server;
 mod store;
@@ -38,6 +39,7 @@
     let outcome = match case.as_str() {
         "followers" => followers::run(&record, &files, is_troubled),
         "uploads" => uploads::run(&record, &files, is_troubled),
+        "reader" => reader::run(&record, &files, is_troubled),
         "crashing" => crashing::run(&record, &files, is_troubled),
         _ => Outcome::NotRun("unknown case"),
     };
--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -17,6 +17,12 @@
 /// Time for which a server is down after a crash.
 const DOWN: Duration = Duration::from_secs(3);
 
+/// Returns the body of the answer to a request: as many bytes as the last part of the path says.
+fn body_for(path: &str) -> Vec<u8> {
+    let last = path.rsplit('/').next().unwrap_or("");
+    vec![b'y'; last.parse().unwrap_or(20)]
+}
+
 /// A run of a request.
 pub struct Run {
     pub at: u64,
@@ -148,7 +154,7 @@
                 return self.crash();
             }
             let headers = format!("{named}X-Rosemaryfork-Response-Signature: sig.{me}\r\n");
-            if http::respond(&mut stream, 200, &headers, me.as_bytes()).is_err() {
+            if http::respond(&mut stream, 200, &headers, &body_for(&path)).is_err() {
                 return;
             }
         }
