--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -3,7 +3,7 @@
 //! 0 if it held, and 2 if the case could not run. With `TROUBLE=0` there is no disruption.
 
 mod crashing;
-mod followers;
+mod forgotten;
 mod http;
 mod json;
 mod mesh;
@@ -37,7 +37,7 @@
     let files = env::temp_dir().join(format!("review-2-{}", id()));
     fs::create_dir_all(&files).expect("temporary folder");
     let outcome = match case.as_str() {
-        "followers" => followers::run(&record, &files, is_troubled),
+        "forgotten" => forgotten::run(&record, &files, is_troubled),
         "uploads" => uploads::run(&record, &files, is_troubled),
         "reader" => reader::run(&record, &files, is_troubled),
         "crashing" => crashing::run(&record, &files, is_troubled),
--- a/review/standin-2/mesh.rs
+++ b/review/standin-2/mesh.rs
@@ -41,6 +41,7 @@
 pub struct Machine {
     pub name: String,
     pub place: Place,
+    pub server: Arc<Server>,
     callers: SocketAddr,
     readiness: SocketAddr,
     settings: PathBuf,
@@ -156,7 +157,7 @@
                 work: place.work,
                 slots: place.slots,
             };
-            Server::start(options, record.clone(), Arc::clone(&runs));
+            let server = Server::start(options, record.clone(), Arc::clone(&runs));
             machines.push(Machine {
                 log: folder.join(format!("{name}.log")),
                 name,
@@ -164,6 +165,7 @@
                 callers,
                 readiness,
                 settings,
+                server,
                 process: None,
             });
         }
--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -26,7 +26,7 @@
 /// A run of a request.
 pub struct Run {
     pub at: u64,
-    pub service: String,
+    pub server: String,
     pub path: String,
     pub id: String,
 }
@@ -45,6 +45,9 @@
     is_up: AtomicBool,
     is_listening: AtomicBool,
     connections: Mutex<Vec<TcpStream>>,
+    /// Start time of the process and number of its last heartbeat.
+    last_beat: Mutex<(u128, u64)>,
+    is_leaving: AtomicBool,
 }
 
 /// What a server is started with.
@@ -74,6 +77,8 @@
             is_up: AtomicBool::new(true),
             is_listening: AtomicBool::new(false),
             connections: Mutex::default(),
+            last_beat: Mutex::default(),
+            is_leaving: AtomicBool::new(false),
         });
         let listening = server.clone();
         thread::spawn(move || listening.listen());
@@ -128,7 +133,10 @@
             let named = format!(
                 "X-Rosemaryfork-Request-Id: {id}\r\nX-Rosemaryfork-Server-Load: 1,0,{}\r\n",
                 self.slots
-            );
+            ) + match self.is_leaving.load(Ordering::SeqCst) {
+                true => "Server-Leaving: 1\r\n",
+                false => "",
+            };
             if request
                 .header("X-Rosemaryfork-Expect-Instance")
                 .is_some_and(|e| e != me)
@@ -145,7 +153,7 @@
             ));
             self.runs.lock().unwrap().push(Run {
                 at: self.record.now(),
-                service: self.service.clone(),
+                server: me.clone(),
                 path: path.clone(),
                 id,
             });
@@ -179,39 +187,58 @@
 
     /// Sends heartbeats to the proxy on the same machine.
     fn announce(self: Arc<Server>) {
-        let (mut process, mut born, mut seq) = (0, 0, 0);
-        loop {
+        let mut process = 0;
+        while !self.is_leaving.load(Ordering::SeqCst) {
             let current = self.process.load(Ordering::SeqCst);
             if current != process {
-                (process, seq) = (current, 0);
-                born = SystemTime::now()
-                    .duration_since(UNIX_EPOCH)
-                    .unwrap()
-                    .as_millis();
+                process = current;
+                let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+                *self.last_beat.lock().unwrap() = (born.as_millis(), 0);
             }
             if self.is_listening.load(Ordering::SeqCst) {
-                seq += 1;
-                let body = format!(
-                    "{{\"address\":\"{}\",\"born\":{born},\"info\":{{\"service\":\"{}\",\
-                     \"version\":\"v1\",\"zone\":\"{}\",\"slots\":{}}},\"status\":{{\
-                     \"state\":\"ready\",\"seq\":{seq},\"coldRemaining\":\"0ms\"}}}}",
-                    self.address, self.service, self.zone, self.slots
-                );
-                let request = format!(
-                    "PUT /api/instances/{} HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\
-                     Content-Type: application/json\r\n",
-                    self.id(),
-                    self.control
-                );
-                http::call(
-                    self.control,
-                    &request,
-                    body.as_bytes(),
-                    Duration::from_secs(1),
-                )
-                .ok();
+                self.beat();
             }
             thread::sleep(HEARTBEAT);
         }
     }
+
+    /// Sends a heartbeat; returns the status of the answer.
+    pub fn beat(&self) -> u16 {
+        let (born, seq) = {
+            let mut last = self.last_beat.lock().unwrap();
+            last.1 += 1;
+            *last
+        };
+        let body = format!(
+            "{{\"address\":\"{}\",\"born\":{born},\"info\":{{\"service\":\"{}\",\
+             \"version\":\"v1\",\"zone\":\"{}\",\"slots\":{}}},\"status\":{{\
+             \"state\":\"ready\",\"seq\":{seq},\"coldRemaining\":\"0ms\"}}}}",
+            self.address, self.service, self.zone, self.slots
+        );
+        self.call("PUT", &body)
+    }
+
+    /// Withdraws the server and sends no further heartbeats; it goes on serving. Returns the status
+    /// of the answer.
+    pub fn leave(&self) -> u16 {
+        self.is_leaving.store(true, Ordering::SeqCst);
+        let born = self.last_beat.lock().unwrap().0;
+        self.call("DELETE", &format!("{{\"born\":{born}}}"))
+    }
+
+    fn call(&self, method: &str, body: &str) -> u16 {
+        let request = format!(
+            "{method} /api/instances/{} HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\
+             Content-Type: application/json\r\n",
+            self.id(),
+            self.control
+        );
+        let answer = http::call(
+            self.control,
+            &request,
+            body.as_bytes(),
+            Duration::from_secs(1),
+        );
+        answer.map_or(0, |a| a.status())
+    }
 }
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -22,8 +22,6 @@
     revision: u64,
     objects: BTreeMap<(String, String), Object>,
     cut: BTreeMap<usize, bool>,
-    /// Number of open watch calls, by client and kind.
-    watches: BTreeMap<(usize, String), u32>,
 }
 
 #[derive(Default)]
@@ -50,16 +48,6 @@
         self.changed.notify_all();
     }
 
-    /// Returns the clients that wait for changes of a kind.
-    pub fn watchers(&self, kind: &str) -> Vec<usize> {
-        let state = self.state.lock().unwrap();
-        let open = state
-            .watches
-            .iter()
-            .filter(|((_, k), n)| k == kind && **n > 0);
-        open.map(|((client, _), _)| *client).collect()
-    }
-
     /// Writes the spec of an object, as an operator does.
     pub fn write(&self, kind: &str, name: &str, spec: &str) {
         self.state.lock().unwrap().put(kind, name, Some(spec), None);
@@ -158,10 +146,8 @@
     }
 
     fn watch(&self, client: usize, kind: &str, after: u64, wait: u64) -> (u16, String) {
-        let key = (client, kind.to_owned());
         let end = Instant::now() + Duration::from_millis(wait);
         let mut state = self.state.lock().unwrap();
-        *state.watches.entry(key.clone()).or_default() += 1;
         let answer = loop {
             let events = state.events(kind, after);
             let left = end.saturating_duration_since(Instant::now());
@@ -173,7 +159,6 @@
             }
             state = self.changed.wait_timeout(state, left).unwrap().0;
         };
-        *state.watches.entry(key).or_default() -= 1;
         (200, answer)
     }
 }
